--- /dev/null
+++ b/runspool/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions of a front and the types through which a front and its decisions meet."""
--- /dev/null
+++ b/runspool/decisions/rules.py
@@ -0,0 +1,415 @@
+"""The decisions of one front. How to call it: make a Rules from the house terms and a seed; set now before
+each call; feed roster(); drive query(q) and watch(), generators that yield what they want done and are
+resumed with its result. The interface is runspool/decisions/interface.py.
+
+Mechanisms beside the design (docs/design.md says when each acts):
+1 Overdue age: an engine's oldest unanswered shot is a floor under its predicted wait.
+2 Distrust: failures shun an engine for a doubling time, then it is tried with one shot at a time.
+3 Patience: a query that cannot begin in time is dismissed before it costs work, sooner beyond a tenant's share.
+4 Second try: a shot gets part of the time that is left, where another may follow it.
+5 Cold share: a starting engine gets a part of what its warm peers get from this front.
+6 Distance: the price of leaving rack or zone counts as wait for readers, as load for writers.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Generator
+from dataclasses import dataclass, field
+from random import Random
+
+from runspool.decisions.interface import (
+    NEVER_RAN, Ask, Dismiss, Effect, Ending, Group, HouseTerms, Listed, Listen, Move, Outcome, Query,
+    Release, Report, Role, Roster, Scrap, Shot, Subscribe, TariffTerms, Wait,
+)
+
+MILLI = 10
+SECOND = 1000 * MILLI
+DISPATCH = 0.8  # fraction of a mixed server's cap up to which streams are packed on it
+CEILING = 1.2  # fraction of a writer's cap above which a stream is stopped
+FRESH = 2 * SECOND  # a report older than this says nothing of now
+RATE_KEEPS = 0.85  # what an older sample of the read rate still weighs beside the next
+RATE_FADES = 5 * SECOND  # half-life of an unheard engine's rate on its way back to the average
+FIRST_RATE = 1.0  # tokens a tenth of a millisecond, before any read has been timed
+BACKOFF = 200 * MILLI
+LONGEST_BACKOFF = 6 * SECOND
+RETRY = 25 * MILLI  # between looks for an engine while none can be had
+MARGIN = 15 * MILLI  # kept before the hard limit and before a held state must be let go
+PATIENCE = 1.0  # part of the time to the due time that the predicted wait may take
+OVER_SHARE_PATIENCE = 0.3
+SHOT_PART = 0.5  # of the time left, for a shot after which another may follow
+LEAST_CAP = 150 * MILLI
+COLD_SAFETY = 0.5
+ZONE_WAIT = 4.0  # due times that a full gain's price of crossing zones counts for
+FAR_LOAD = 5.0  # share of load that a full gain's price of leaving the rack counts for
+KEPT_TEXTS = 3000
+
+
+@dataclass(slots=True)
+class Engine:
+    id: int
+    role: Role
+    zone: int
+    rack: int
+    memory: int
+    started: int
+    on: bool = True
+    reads: dict[int, tuple[int, int]] = field(default_factory=dict)  # query: sent, tokens ahead of its end
+    unread: int = 0
+    waiting: dict[int, int] = field(default_factory=dict)  # query: sent to be answered, not begun
+    streams: dict[int, int] = field(default_factory=dict)  # query: tokens, begun or not
+    tokens: int = 0
+    read_tokens: float = 0.0
+    read_time: float = 0.0
+    heard: int = 0
+    wait: float = 0.0  # from a send for an answer to its first token
+    cap: int = 0
+    kept: dict[int, int] = field(default_factory=dict)
+    report: Report | None = None
+    reported: int = 0
+    strikes: int = 0
+    shunned: int = 0
+    sends: list[tuple[int, float]] = field(default_factory=list)  # time and work, newest last
+
+
+class Tariff:
+    """A row of the one table by tariff: the terms, and what this front has learned."""
+
+    __slots__ = ("out", "terms", "work")
+
+    def __init__(self, terms: TariffTerms) -> None:
+        self.terms = terms
+        self.out = 0.0  # running estimate of an answer's tokens
+        self.work = 0.0  # running mean of tokens to read
+
+
+class Rules:
+    def __init__(self, terms: HouseTerms, seed: int) -> None:
+        self.terms = terms
+        self.draw = Random(seed).random
+        self.now = 0
+        self.engines: dict[int, Engine] = {}
+        self.tariffs = [Tariff(row) for row in terms.tariffs]
+        self.arrivals = [(0.0, 0)] * len(terms.tenants)
+        self.reserved_reader: Engine | None = None
+        self.reserved_writer: Engine | None = None
+        self.subscribed = False
+
+    # The way of one query, and the beat beside it.
+
+    def query(self, q: Query) -> Generator[Ask, Outcome | None, None]:
+        largest = max((e.memory for e in self.engines.values() if e.on), default=0)
+        if q.tariff is None or (0 < largest < q.prompt):
+            yield Scrap()  # no later try would go better
+            return
+        row = self.tariffs[q.tariff]
+        limit = self.now + q.budget - MARGIN
+        due = min(limit, self.now + row.terms.due + row.terms.due_per_1000 * q.prompt // 1000)
+        patience = (due - self.now) * (OVER_SHARE_PATIENCE if self.over_share(q) else PATIENCE)
+        state: Engine | None = None
+        held = 0  # since when the state waits
+        shots = 0
+        ran: Engine | None = None  # the first engine whose shot may have run
+        ran_at = 0
+        failed: list[int] = []
+        while not q.over and shots < self.terms.max_shots and self.now < limit:
+            if ran and (row.terms.effect is Effect.EXCLUSIVE or self.now >= ran_at + row.terms.window):
+                break
+            engine = self.pick_writer(q, state, failed, ran) if state else self.pick_reader(q, failed, ran)
+            if not shots and engine and self.predicted(engine, q) + self.writing_wait() > patience:
+                break
+            if engine is None:
+                until = min(self.now + RETRY, limit)
+                if self.now >= due:
+                    break
+                if state and until > held + self.terms.release_within - MARGIN:
+                    yield Release()
+                    state = None
+                yield Wait(until)
+                continue
+            shots += 1
+            effect = engine.role is not Role.READER
+            cap = self.cap(q, engine, due, limit) if self.may_follow(row, effect, shots) else 0
+            sent = self.now
+            self.sent(q, engine, state, cap)
+            out = yield Shot(engine.id, cap)
+            assert out is not None
+            self.ended(q, engine, out, sent)
+            if out.ending is Ending.BEGUN:
+                out = yield Listen()
+                assert out is not None
+                self.streamed(q, engine, out)
+                return
+            if out.ending is Ending.READ:
+                state, held, failed = engine, self.now, []
+            elif out.ending is Ending.STATELESS:
+                state = None
+            elif out.ending is not Ending.SUCCEEDED:
+                held = self.now
+                failed.append(engine.id)
+            if effect and not ran and out.ending not in NEVER_RAN and row.terms.effect is not Effect.RERUNNABLE:
+                ran, ran_at = engine, sent
+        if state:
+            yield Release()
+        if q.over:
+            return
+        if ran and (row.terms.effect is Effect.EXCLUSIVE or row.terms.group is not Group.ALL):
+            yield Scrap()
+        else:
+            yield Dismiss(self.hold_off(q))
+
+    def watch(self) -> Generator[Ask, Outcome | None, None]:
+        while True:
+            if self.terms.must_ask and not self.subscribed:
+                self.subscribed = True
+                yield Subscribe()
+            yield Wait(self.now + SECOND)
+            victim = self.overload() if self.terms.resumes else None
+            if victim is not None:
+                yield Move(victim)
+
+    # The list, and the reserved pair.
+
+    def roster(self, roster: Roster) -> None:
+        named = [line.engine for line in roster.engines]
+        for line in roster.engines:
+            self.listed(line)
+        if roster.whole:
+            for e in self.engines.values():
+                e.on = e.on and e.id in named
+        readers = self.pool(Role.READER) or self.pool(Role.MIXED)
+        if self.reserved_reader not in readers:
+            self.reserved_reader = self.elect(readers, None)
+        writers = self.pool(Role.MIXED) or self.pool(Role.WRITER)
+        if self.reserved_writer not in writers:
+            self.reserved_writer = self.elect(writers, self.reserved_reader)
+
+    def listed(self, line: Listed) -> None:
+        e = self.engines.get(line.engine)
+        if e is None or e.started != line.started:
+            known = 0 <= line.kind < len(self.terms.kinds)
+            kind = self.terms.kinds[line.kind] if known else None
+            role, memory = (kind.role, kind.memory) if kind else (Role.MIXED, 0)
+            e = Engine(line.engine, role, line.zone, line.rack, memory, line.started)
+            self.engines[line.engine] = e
+        e.on = line.state == "on"
+
+    def list_failed(self) -> None:
+        self.subscribed = False
+
+    def elect(self, among: list[Engine], other: Engine | None) -> Engine | None:
+        able = [e for e in among if e is not other] or among
+        return min(able, key=lambda e: (e.unread + e.tokens, self.draw()), default=None)
+
+    # The two picks of the design.
+
+    def pick_reader(self, q: Query, failed: list[int], ran: Engine | None) -> Engine | None:
+        able = self.pool(Role.READER) + [e for e in self.pool(Role.MIXED) if not self.carries(e)]
+        able = able or self.pool(Role.MIXED) or (self.pool(Role.WRITER) if self.terms.writers_read else [])
+        able = self.usable(q, able, failed, ran)
+        return min(able, key=lambda e: (self.predicted(e, q) + self.distance(e, q),
+                                        e is not self.reserved_reader, self.draw()), default=None)
+
+    def pick_writer(self, q: Query, state: Engine, failed: list[int], ran: Engine | None) -> Engine | None:
+        mixed = self.usable(q, self.pool(Role.MIXED), failed, ran)
+        pure = self.usable(q, self.pool(Role.WRITER), failed, ran)
+        line = [e for e in mixed if self.load(e, q) < DISPATCH]
+        packed = [e for e in line if self.carries(e) or e is self.reserved_writer]
+        best = max(packed, default=None, key=lambda e: (
+            e is self.reserved_writer, self.load(e, q) - self.far(e, state), self.draw()))
+        fewest = min(pure, default=None, key=lambda e: (self.load(e, q) + self.far(e, state), self.draw()))
+        if fewest and self.load(fewest, q) < DISPATCH and (
+                not best or self.load(fewest, q) + self.far(fewest, state) < self.load(best, q)
+                + self.far(best, state)):
+            return fewest
+        free = [e for e in line if not self.carries(e) and e is not self.reserved_reader]
+        best = best or min(free, default=None, key=lambda e: (self.predicted(e, q), self.draw()))
+        return best or min(mixed + pure, default=None, key=lambda e: (
+            self.load(e, q) + self.far(e, state), self.draw()))
+
+    def overload(self) -> int | None:
+        over = [e for e in self.engines.values() if e.on and e.role is not Role.READER and e.streams
+                and self.load(e) > CEILING]
+        worst = max(over, key=self.load, default=None)
+        if worst is None or not any(self.load(e) < DISPATCH for e in self.pool(worst.role)):
+            return None
+        begun = [i for i in worst.streams if i not in worst.waiting]
+        return min(begun, key=lambda i: worst.streams[i], default=None)
+
+    # What the picks weigh.
+
+    def pool(self, role: Role) -> list[Engine]:
+        return [e for e in self.engines.values() if e.on and e.role is role]
+
+    def usable(self, q: Query, able: list[Engine], failed: list[int], ran: Engine | None) -> list[Engine]:
+        if ran and q.tariff is not None:
+            group = self.tariffs[q.tariff].terms.group
+            able = [e for e in able if group is Group.ALL or (e.zone == ran.zone and (
+                group is Group.ZONE or e.rack == ran.rack))]
+        able = [e for e in able if (not e.memory or e.memory > q.prompt) and self.bears(e, q)]
+        able = [e for e in able if e.id not in failed] or able
+        # One engine shunned is a bad engine; when most are, something they share is, and shunning helps nobody.
+        trusted = [e for e in able if e.shunned <= self.now and not (e.strikes and (e.reads or e.waiting))]
+        return trusted or [e for e in able if e.shunned <= self.now]
+
+    def carries(self, e: Engine) -> bool:
+        seen = self.fresh(e)
+        return bool(e.streams) or bool(seen and seen.in_flight and seen.in_flight >= 1)
+
+    def fresh(self, e: Engine) -> Report | None:
+        return e.report if e.report and self.now - e.reported < FRESH else None
+
+    def predicted(self, e: Engine, q: Query) -> int:
+        seen = self.fresh(e)
+        ahead = e.unread + self.to_read(e, q) + (int(seen.to_read) if seen and seen.to_read else 0)
+        oldest = next(iter(e.reads.values()))[0] if e.reads else self.now
+        return int(max(ahead / (self.rate(e) * self.warmth(e)), self.now - oldest))
+
+    def to_read(self, e: Engine, q: Query) -> int:
+        session = e.kept.get(2 * q.session, 0) if q.session is not None else 0
+        shared = e.kept.get(2 * q.beginning + 1, 0) if q.beginning is not None else 0
+        return max(1, q.prompt - max(min(session, q.prompt), min(shared, q.beginning_length)))
+
+    def rate(self, e: Engine) -> float:
+        heard = [o for o in self.engines.values() if o.on and o.role is e.role and o.read_time]
+        time = sum(o.read_time for o in heard)
+        average = sum(o.read_tokens for o in heard) / time if time else FIRST_RATE
+        if not e.read_time:
+            return average
+        fades = 0.5 ** ((self.now - e.heard) / RATE_FADES)
+        return max(0.01, average + (e.read_tokens / e.read_time - average) * fades)
+
+    def writing_wait(self) -> float:
+        waits = [e.wait for e in self.engines.values() if e.on and e.role is not Role.READER]
+        return min(waits, default=0.0)
+
+    def load(self, e: Engine, q: Query | None = None) -> float:
+        mine = e.tokens + (self.weight(q) if q else 0)
+        cap = e.cap or e.memory / self.terms.fronts
+        seen = self.fresh(e)
+        told = max(seen.memory or 0.0, seen.slots or 0.0) if seen else 0.0
+        return max(told, mine / cap if cap else float(len(e.streams))) / self.warmth(e)
+
+    def weight(self, q: Query) -> int:
+        return q.prompt + int(self.tariffs[q.tariff].out if q.tariff is not None else 0)
+
+    def distance(self, e: Engine, q: Query) -> float:
+        due = self.tariffs[q.tariff].terms.due if q.tariff is not None else 0
+        return ZONE_WAIT * self.terms.zone_price * due * (e.zone != self.terms.zone)
+
+    def far(self, e: Engine, state: Engine) -> float:
+        return FAR_LOAD * (self.terms.far_price * (e.rack != state.rack)
+                           + self.terms.zone_price * (e.zone != state.zone))
+
+    def warmth(self, e: Engine) -> float:
+        if not e.started or self.now >= e.started + self.terms.cold_time:
+            return 1.0
+        grown = (self.now - e.started) / self.terms.cold_time
+        return self.terms.cold_from + (1 - self.terms.cold_from) * max(0.0, grown)
+
+    def bears(self, e: Engine, q: Query) -> bool:
+        """Against pushing over a cold engine: the sum of all fronts' shares stays under what it can do."""
+        if self.warmth(e) == 1.0 or q.tariff is None:
+            return True
+        peers = [o for o in self.engines.values() if o.on and o.role is e.role and self.warmth(o) == 1.0]
+        usual = sum(self.spent(o) for o in peers) / len(peers) if peers else 0.0
+        share = usual * COLD_SAFETY * self.terms.fall_multiple * self.terms.cold_from
+        mean = sum(t.work for t in self.tariffs) / len(self.tariffs)
+        work = self.tariffs[q.tariff].work
+        spent = self.spent(e)
+        return spent + work <= share or (not spent and work <= mean)
+
+    def spent(self, e: Engine) -> float:
+        return sum(work for at, work in e.sends if at > self.now - self.terms.fall_time)
+
+    def over_share(self, q: Query) -> bool:
+        if q.tenant is None:
+            return False
+        seen, at = self.arrivals[q.tenant]
+        seen = seen * 0.5 ** ((self.now - at) / (2 * SECOND)) + 1
+        self.arrivals[q.tenant] = seen, self.now
+        usual = self.terms.tenants[q.tenant].per_second / self.terms.fronts * 2 / 0.693
+        return 0 < 1.3 * usual + 2 < seen
+
+    # Time-outs and answers.
+
+    def may_follow(self, row: Tariff, effect: bool, shots: int) -> bool:
+        return shots < self.terms.max_shots and (not effect or row.terms.effect is Effect.RERUNNABLE)
+
+    def cap(self, q: Query, e: Engine, due: int, limit: int) -> int:
+        left = (due if self.now < due - 2 * LEAST_CAP else limit) - self.now
+        return max(LEAST_CAP, int(left * SHOT_PART))
+
+    def hold_off(self, q: Query) -> int:
+        if not self.terms.may_say_when:
+            return 0
+        waits = [self.predicted(e, q) for e in self.pool(Role.READER)]
+        return min(self.terms.longest_wait_told, max(200 * MILLI, min(waits, default=0)))
+
+    # What shots teach.
+
+    def sent(self, q: Query, e: Engine, state: Engine | None, cap: int) -> None:
+        assert q.tariff is not None
+        row = self.tariffs[q.tariff]
+        e.sends = [s for s in e.sends if s[0] > self.now - self.terms.fall_time]
+        if state is None:
+            tokens = self.to_read(e, q)
+            row.work = tokens if not row.work else row.work + (tokens - row.work) / 16
+            e.unread += tokens
+            e.reads[q.index] = self.now, tokens
+        e.sends.append((self.now, row.work))
+        if e.role is not Role.READER:
+            e.waiting[q.index] = self.now
+            e.streams[q.index] = self.weight(q)
+            e.tokens += e.streams[q.index]
+
+    def ended(self, q: Query, e: Engine, out: Outcome, sent: int) -> None:
+        self.heard_of(e, out)
+        e.waiting.pop(q.index, None)
+        _, tokens = e.reads.pop(q.index, (0, 0))
+        if out.ending in (Ending.READ, Ending.BEGUN, Ending.SUCCEEDED):
+            e.strikes = e.shunned = 0
+            if tokens:
+                queue = e.unread
+                if out.ending is Ending.READ:
+                    queue += max(1, q.prompt - out.kept) - tokens
+                e.read_tokens = e.read_tokens * RATE_KEEPS + max(1, queue)
+                e.read_time = e.read_time * RATE_KEEPS + max(1, out.took)
+                e.heard = self.now
+                self.keep(e, q)
+            else:
+                e.wait += (out.took - e.wait) / 4
+        elif out.ending in (Ending.FULL, Ending.STATELESS, Ending.VOID, Ending.RECALLED):
+            if out.ending is Ending.FULL:
+                if e.role is not Role.READER and not e.cap:
+                    e.cap = max(e.tokens, e.memory // self.terms.fronts // 2)
+                e.shunned = max(e.shunned, self.now + BACKOFF)
+        else:
+            e.shunned = self.now + min(LONGEST_BACKOFF, BACKOFF << min(e.strikes, 10))
+            e.strikes += 1
+        e.unread -= tokens
+        if out.ending is not Ending.BEGUN:
+            e.tokens -= e.streams.pop(q.index, 0)
+
+    def streamed(self, q: Query, e: Engine, out: Outcome) -> None:
+        self.heard_of(e, out)
+        e.tokens -= e.streams.pop(q.index, 0)
+        if out.ending is Ending.SUCCEEDED and q.tariff is not None:
+            row = self.tariffs[q.tariff]
+            tokens = q.likely_out or out.took / max(1, row.terms.pace)
+            row.out = tokens if not row.out else row.out + (tokens - row.out) / 16
+        elif out.ending is Ending.SEVERED:
+            e.shunned = self.now + min(LONGEST_BACKOFF, BACKOFF << min(e.strikes, 10))
+            e.strikes += 1
+
+    def heard_of(self, e: Engine, out: Outcome) -> None:
+        if out.report:
+            e.report, e.reported = out.report, self.now
+
+    def keep(self, e: Engine, q: Query) -> None:
+        for key, parity, length in ((q.session, 0, q.prompt), (q.beginning, 1, q.beginning_length)):
+            if key is not None:
+                at = 2 * key + parity
+                e.kept.pop(at, None)
+                e.kept[at] = length
+        while len(e.kept) > KEPT_TEXTS:
+            del e.kept[next(iter(e.kept))]
