--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -37,7 +37,8 @@
 PATIENCE = 1.0  # part of the time to the due time that the predicted wait may take
 OVER_SHARE_PATIENCE = 0.3
 SHOT_PART = 0.5  # of the time left, for a shot after which another may follow
-LEAST_CAP = 150 * MILLI
+LEAST_CAP = 300 * MILLI
+SLOW = 4  # times the predicted wait before a shot counts as hung
 COLD_SAFETY = 0.5
 ZONE_WAIT = 4.0  # due times that a full gain's price of crossing zones counts for
 FAR_LOAD = 5.0  # share of load that a full gain's price of leaving the rack counts for
@@ -128,7 +129,8 @@
                 continue
             shots += 1
             effect = engine.role is not Role.READER
-            cap = self.cap(q, engine, due, limit) if self.may_follow(row, effect, shots) else 0
+            wait = self.wait(engine) if state else self.predicted(engine, q)
+            cap = self.cap(wait, due, limit) if self.may_follow(row, effect, shots) else 0
             sent = self.now
             self.sent(q, engine, state, cap)
             out = yield Shot(engine.id, cap)
@@ -278,6 +280,10 @@
         fades = 0.5 ** ((self.now - e.heard) / RATE_FADES)
         return max(0.01, average + (e.read_tokens / e.read_time - average) * fades)
 
+    def wait(self, e: Engine) -> int:
+        oldest = next(iter(e.waiting.values())) if e.waiting else self.now
+        return max(int(e.wait), self.now - oldest)
+
     def writing_wait(self) -> float:
         waits = [e.wait for e in self.engines.values() if e.on and e.role is not Role.READER]
         return min(waits, default=0.0)
@@ -335,9 +341,11 @@
     def may_follow(self, row: Tariff, effect: bool, shots: int) -> bool:
         return shots < self.terms.max_shots and (not effect or row.terms.effect is Effect.RERUNNABLE)
 
-    def cap(self, q: Query, e: Engine, due: int, limit: int) -> int:
+    def cap(self, wait: int, due: int, limit: int) -> int:
+        """Against a hung engine. Work given up may go on there, so a shot that is merely slow, as far as this
+        front can foresee, is left alone: time-outs under load would feed the load."""
         left = (due if self.now < due - 2 * LEAST_CAP else limit) - self.now
-        return max(LEAST_CAP, int(left * SHOT_PART))
+        return max(LEAST_CAP, int(left * SHOT_PART), SLOW * wait)
 
     def hold_off(self, q: Query) -> int:
         if not self.terms.may_say_when:
