--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -40,8 +40,8 @@
 LEAST_CAP = 300 * MILLI
 SLOW = 4  # times the predicted wait before a shot counts as hung
 COLD_SAFETY = 0.5
-ZONE_WAIT = 4.0  # due times that a full gain's price of crossing zones counts for
-FAR_LOAD = 5.0  # share of load that a full gain's price of leaving the rack counts for
+PRICE_WAIT = 8.0  # due times of waiting that a full gain's price of distance counts for
+PRICE_LOAD = 12.0  # shares of load that it counts for
 KEPT_TEXTS = 3000
 
 
@@ -299,12 +299,18 @@
         return q.prompt + int(self.tariffs[q.tariff].out if q.tariff is not None else 0)
 
     def distance(self, e: Engine, q: Query) -> float:
+        """A read away from its writers pays for the move of its state, one on a mixed server never does."""
         due = self.tariffs[q.tariff].terms.due if q.tariff is not None else 0
-        return ZONE_WAIT * self.terms.zone_price * due * (e.zone != self.terms.zone)
+        on = [] if e.role is not Role.READER else [
+            self.price(w, e) for w in self.engines.values() if w.on and w.role is not Role.READER
+            and self.load(w, q) < DISPATCH]
+        return PRICE_WAIT * due * (self.terms.zone_price * (e.zone != self.terms.zone) + min(on, default=0.0))
+
+    def price(self, e: Engine, state: Engine) -> float:
+        return self.terms.far_price * (e.rack != state.rack) + self.terms.zone_price * (e.zone != self.terms.zone)
 
     def far(self, e: Engine, state: Engine) -> float:
-        return FAR_LOAD * (self.terms.far_price * (e.rack != state.rack)
-                           + self.terms.zone_price * (e.zone != state.zone))
+        return PRICE_LOAD * self.price(e, state)
 
     def warmth(self, e: Engine) -> float:
         if not e.started or self.now >= e.started + self.terms.cold_time:
