--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -3,10 +3,11 @@
 resumed with its result. The interface is runspool/decisions/interface.py.
 
 Mechanisms beside the design (docs/design.md says when each acts):
-1 Overdue age: an engine's oldest unanswered shot is a floor under its predicted wait.
+1 Overdue age: an engine's oldest unanswered shot is a floor under its predicted wait, and where another shot
+  may follow, one is given up past a multiple of what was foreseen.
 2 Distrust: failures shun an engine for a doubling time, then it is tried with one shot at a time.
 3 Patience: a query that cannot begin in time is dismissed before it costs work, sooner beyond a tenant's share.
-4 Second try: a shot gets part of the time that is left, where another may follow it.
+4 Spill: where no stream-free server can read soon enough, a mixed one that carries streams may.
 5 Cold share: a starting engine gets a part of what its warm peers get from this front.
 6 Distance: the price of leaving rack or zone counts as wait for readers, as load for writers.
 """
@@ -36,6 +37,7 @@
 MARGIN = 15 * MILLI  # kept before the hard limit and before a held state must be let go
 PATIENCE = 1.0  # part of the time to the due time that the predicted wait may take
 OVER_SHARE_PATIENCE = 0.3
+SPILL = 0.35  # part of the time to the due time past which a wait for a stream-free reader is too long
 SHOT_PART = 0.5  # of the time left, for a shot after which another may follow
 LEAST_CAP = 300 * MILLI
 SLOW = 4  # times the predicted wait before a shot counts as hung
@@ -115,7 +117,8 @@
         while not q.over and shots < self.terms.max_shots and self.now < limit:
             if ran and (row.terms.effect is Effect.EXCLUSIVE or self.now >= ran_at + row.terms.window):
                 break
-            engine = self.pick_writer(q, state, failed, ran) if state else self.pick_reader(q, failed, ran)
+            engine = (self.pick_writer(q, state, failed, ran) if state
+                      else self.pick_reader(q, failed, ran, int((due - self.now) * SPILL)))
             if not shots and engine and self.predicted(engine, q) + self.writing_wait() > patience:
                 break
             if engine is None:
@@ -204,10 +207,17 @@
 
     # The two picks of the design.
 
-    def pick_reader(self, q: Query, failed: list[int], ran: Engine | None) -> Engine | None:
-        able = self.pool(Role.READER) + [e for e in self.pool(Role.MIXED) if not self.carries(e)]
-        able = able or self.pool(Role.MIXED) or (self.pool(Role.WRITER) if self.terms.writers_read else [])
-        able = self.usable(q, able, failed, ran)
+    def pick_reader(self, q: Query, failed: list[int], ran: Engine | None, soon: int) -> Engine | None:
+        mixed = self.pool(Role.MIXED)
+        able = self.pool(Role.READER) + [e for e in mixed if not self.carries(e)]
+        best = self.soonest(q, self.usable(q, able, failed, ran))
+        if best and self.predicted(best, q) <= soon:
+            return best
+        able += [e for e in mixed if self.carries(e) and self.load(e, q) < DISPATCH]
+        able = able or mixed or (self.pool(Role.WRITER) if self.terms.writers_read else [])
+        return self.soonest(q, self.usable(q, able, failed, ran))
+
+    def soonest(self, q: Query, able: list[Engine]) -> Engine | None:
         return min(able, key=lambda e: (self.predicted(e, q) + self.distance(e, q),
                                         e is not self.reserved_reader, self.draw()), default=None)
 
