--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -37,7 +37,8 @@
 MARGIN = 15 * MILLI  # kept before the hard limit and before a held state must be let go
 PATIENCE = 1.0  # part of the time to the due time that the predicted wait may take
 OVER_SHARE_PATIENCE = 0.3
-SPILL = 0.7  # part of the time to the due time past which a wait for a stream-free reader is too long
+SPILL_READ = 0.25  # part of an answer's time that a read beside streams may take
+SPILL = 0.5  # part of the time to the due time past which a wait for a stream-free reader is too long
 SHOT_PART = 0.5  # of the time left, for a shot after which another may follow
 LEAST_CAP = 300 * MILLI
 SLOW = 4  # times the predicted wait before a shot counts as hung
@@ -213,7 +214,9 @@
         best = self.soonest(q, self.usable(q, able, failed, ran))
         if best and self.predicted(best, q) <= soon:
             return best
-        able += [e for e in mixed if self.carries(e) and self.load(e, q) < DISPATCH]
+        # A read stops the streams beside it, so only one that is short against an answer may join them.
+        able += [e for e in mixed if self.carries(e) and self.load(e, q) < DISPATCH
+                 and self.to_read(e, q) / self.rate(e) < SPILL_READ * self.answer_time(q)]
         able = able or mixed or (self.pool(Role.WRITER) if self.terms.writers_read else [])
         return self.soonest(q, self.usable(q, able, failed, ran))
 
@@ -308,6 +311,10 @@
     def weight(self, q: Query) -> int:
         return q.prompt + int(self.tariffs[q.tariff].out if q.tariff is not None else 0)
 
+    def answer_time(self, q: Query) -> float:
+        row = self.tariffs[q.tariff] if q.tariff is not None else None
+        return row.out * row.terms.pace if row else 0.0
+
     def distance(self, e: Engine, q: Query) -> float:
         """A read away from its writers pays for the move of its state, one on a mixed server never does."""
         due = self.tariffs[q.tariff].terms.due if q.tariff is not None else 0
