--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -45,6 +45,7 @@
 COLD_SAFETY = 0.5
 PRICE_WAIT = 8.0  # due times of waiting that a full gain's price of distance counts for
 PRICE_LOAD = 12.0  # shares of load that it counts for
+LINK_LOAD = SECOND  # wait for a rack's link that counts as a full load
 KEPT_TEXTS = 3000
 
 
@@ -67,6 +68,9 @@
     heard: int = 0
     wait: float = 0.0  # from a send for an answer to its first token
     cap: int = 0
+    leaving: dict[int, int] = field(default_factory=dict)  # query: since when its state leaves this rack
+    link: float = 0.0  # how much longer than the writer's usual wait such a state took
+    linked: int = 0
     kept: dict[int, int] = field(default_factory=dict)
     report: Report | None = None
     reported: int = 0
@@ -133,13 +137,13 @@
                 continue
             shots += 1
             effect = engine.role is not Role.READER
-            wait = self.wait(engine) if state else self.predicted(engine, q)
+            wait = self.wait(engine) + int(self.link(engine, state)) if state else self.predicted(engine, q)
             cap = self.cap(wait, due, limit) if self.may_follow(row, effect, shots) else 0
             sent = self.now
             self.sent(q, engine, state, cap)
             out = yield Shot(engine.id, cap)
             assert out is not None
-            self.ended(q, engine, out, sent)
+            self.ended(q, engine, out, state)
             if out.ending is Ending.BEGUN:
                 out = yield Listen()
                 assert out is not None
@@ -319,15 +323,23 @@
         """A read away from its writers pays for the move of its state, one on a mixed server never does."""
         due = self.tariffs[q.tariff].terms.due if q.tariff is not None else 0
         on = [] if e.role is not Role.READER else [
-            self.price(w, e) for w in self.engines.values() if w.on and w.role is not Role.READER
-            and self.load(w, q) < DISPATCH]
-        return PRICE_WAIT * due * (self.terms.zone_price * (e.zone != self.terms.zone) + min(on, default=0.0))
+            PRICE_WAIT * due * self.price(w, e) + self.link(w, e) for w in self.engines.values()
+            if w.on and w.role is not Role.READER and self.load(w, q) < DISPATCH]
+        return PRICE_WAIT * due * self.terms.zone_price * (e.zone != self.terms.zone) + min(on, default=0.0)
+
+    def link(self, e: Engine, state: Engine) -> float:
+        """What the move out of a reader's rack adds to the wait: as timed of late, or as long as one is out."""
+        if e.rack == state.rack:
+            return 0.0
+        mates = [o for o in self.engines.values() if o.rack == state.rack]
+        timed = max(o.link * 0.5 ** ((self.now - o.linked) / RATE_FADES) for o in mates)
+        return max(timed, max(self.now - next(iter(o.leaving.values()), self.now) for o in mates))
 
     def price(self, e: Engine, state: Engine) -> float:
         return self.terms.far_price * (e.rack != state.rack) + self.terms.zone_price * (e.zone != self.terms.zone)
 
     def far(self, e: Engine, state: Engine) -> float:
-        return PRICE_LOAD * self.price(e, state)
+        return PRICE_LOAD * self.price(e, state) + self.link(e, state) / LINK_LOAD
 
     def warmth(self, e: Engine) -> float:
         if not e.started or self.now >= e.started + self.terms.cold_time:
@@ -387,14 +399,21 @@
             row.work = tokens if not row.work else row.work + (tokens - row.work) / 16
             e.unread += tokens
             e.reads[q.index] = self.now, tokens
+        elif e.rack != state.rack:
+            state.leaving[q.index] = self.now
         e.sends.append((self.now, row.work))
         if e.role is not Role.READER:
             e.waiting[q.index] = self.now
             e.streams[q.index] = self.weight(q)
             e.tokens += e.streams[q.index]
 
-    def ended(self, q: Query, e: Engine, out: Outcome, sent: int) -> None:
+    def ended(self, q: Query, e: Engine, out: Outcome, state: Engine | None) -> None:
         self.heard_of(e, out)
+        if state and state.leaving.pop(q.index, None) is not None and out.ending in (Ending.BEGUN, Ending.OVERDUE):
+            extra = max(0.0, out.took - e.wait)
+            usual = state.link * 0.5 ** ((self.now - state.linked) / RATE_FADES)
+            state.link = usual + (extra - usual) / 3
+            state.linked = self.now
         e.waiting.pop(q.index, None)
         _, tokens = e.reads.pop(q.index, (0, 0))
         if out.ending in (Ending.READ, Ending.BEGUN, Ending.SUCCEEDED):
@@ -407,7 +426,7 @@
                 e.read_time = e.read_time * RATE_KEEPS + max(1, out.took)
                 e.heard = self.now
                 self.keep(e, q)
-            else:
+            elif state and state.rack == e.rack:
                 e.wait += (out.took - e.wait) / 4
         elif out.ending in (Ending.FULL, Ending.STATELESS, Ending.VOID, Ending.RECALLED):
             if out.ending is Ending.FULL:
