--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -43,7 +43,7 @@
 LEAST_CAP = 300 * MILLI
 SLOW = 4  # times the predicted wait before a shot counts as hung
 COLD_SAFETY = 0.5
-PRICE_WAIT = 8.0  # due times of waiting that a full gain's price of distance counts for
+PRICE_WAIT = 6.0  # due times of waiting that a full gain's price of distance counts for
 PRICE_LOAD = 12.0  # shares of load that it counts for
 LINK_LOAD = SECOND  # wait for a rack's link that counts as a full load
 KEPT_TEXTS = 3000
@@ -321,7 +321,7 @@
 
     def distance(self, e: Engine, q: Query) -> float:
         """A read away from its writers pays for the move of its state, one on a mixed server never does."""
-        due = self.tariffs[q.tariff].terms.due if q.tariff is not None else 0
+        due = min(t.terms.due for t in self.tariffs)  # those in the most hurry wait behind this one
         on = [] if e.role is not Role.READER else [
             PRICE_WAIT * due * self.price(w, e) + self.link(w, e) for w in self.engines.values()
             if w.on and w.role is not Role.READER and self.load(w, q) < DISPATCH]
