--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -6,7 +6,7 @@
 1 Overdue age: an engine's oldest unanswered shot is a floor under its predicted wait, and where another shot
   may follow, one is given up past a multiple of what was foreseen.
 2 Distrust: failures shun an engine for a doubling time, then it is tried with one shot at a time.
-3 Patience: a query that cannot begin in time is dismissed before it costs work, sooner beyond a tenant's share.
+3 Patience: a query that cannot begin in time is dismissed before it costs work, sooner beyond a share.
 4 Spill: where no stream-free server can read soon enough, a mixed one that carries streams may.
 5 Cold share: a starting engine gets a part of what its warm peers get from this front.
 6 Distance: the price of leaving rack or zone counts as wait for readers, as load for writers.
@@ -16,6 +16,7 @@
 
 from collections.abc import Generator
 from dataclasses import dataclass, field
+from math import exp2
 from random import Random
 
 from runspool.decisions.interface import (
@@ -43,7 +44,7 @@
 LEAST_CAP = 300 * MILLI
 SLOW = 4  # times the predicted wait before a shot counts as hung
 COLD_SAFETY = 0.5
-PRICE_WAIT = 6.0  # due times of waiting that a full gain's price of distance counts for
+PRICE_WAIT = 4.0  # due times of waiting that a full gain's price of distance counts for
 PRICE_LOAD = 12.0  # shares of load that it counts for
 LINK_LOAD = SECOND  # wait for a rack's link that counts as a full load
 KEPT_TEXTS = 3000
@@ -110,6 +111,7 @@
             yield Scrap()  # no later try would go better
             return
         row = self.tariffs[q.tariff]
+        exclusive, ticketed = row.terms.effect is Effect.EXCLUSIVE, row.terms.effect is Effect.TICKETED
         limit = self.now + q.budget - MARGIN
         due = min(limit, self.now + row.terms.due + row.terms.due_per_1000 * q.prompt // 1000)
         patience = (due - self.now) * (OVER_SHARE_PATIENCE if self.over_share(q) else PATIENCE)
@@ -120,7 +122,7 @@
         ran_at = 0
         failed: list[int] = []
         while not q.over and shots < self.terms.max_shots and self.now < limit:
-            if ran and (row.terms.effect is Effect.EXCLUSIVE or self.now >= ran_at + row.terms.window):
+            if ran and (exclusive or ticketed and self.now >= ran_at + row.terms.window):
                 break
             engine = (self.pick_writer(q, state, failed, ran) if state
                       else self.pick_reader(q, failed, ran, int((due - self.now) * SPILL)))
@@ -156,13 +158,13 @@
             elif out.ending is not Ending.SUCCEEDED:
                 held = self.now
                 failed.append(engine.id)
-            if effect and not ran and out.ending not in NEVER_RAN and row.terms.effect is not Effect.RERUNNABLE:
+            if effect and not ran and out.ending not in NEVER_RAN:
                 ran, ran_at = engine, sent
         if state:
             yield Release()
         if q.over:
             return
-        if ran and (row.terms.effect is Effect.EXCLUSIVE or row.terms.group is not Group.ALL):
+        if ran and (exclusive or ticketed and row.terms.group is not Group.ALL):
             yield Scrap()
         else:
             yield Dismiss(self.hold_off(q))
@@ -214,7 +216,9 @@
 
     def pick_reader(self, q: Query, failed: list[int], ran: Engine | None, soon: int) -> Engine | None:
         mixed = self.pool(Role.MIXED)
-        able = self.pool(Role.READER) + [e for e in mixed if not self.carries(e)]
+        # A state that nobody can take would only be read to be let go.
+        able = self.pool(Role.READER) if mixed or self.pool(Role.WRITER) else []
+        able += [e for e in mixed if not self.carries(e)]
         best = self.soonest(q, self.usable(q, able, failed, ran))
         if best and self.predicted(best, q) <= soon:
             return best
@@ -260,13 +264,11 @@
         return [e for e in self.engines.values() if e.on and e.role is role]
 
     def usable(self, q: Query, able: list[Engine], failed: list[int], ran: Engine | None) -> list[Engine]:
-        if ran and q.tariff is not None:
-            group = self.tariffs[q.tariff].terms.group
-            able = [e for e in able if group is Group.ALL or (e.zone == ran.zone and (
-                group is Group.ZONE or e.rack == ran.rack))]
+        row = self.tariffs[q.tariff].terms if q.tariff is not None else None
+        if ran and row and row.effect is Effect.TICKETED and row.group is not Group.ALL:
+            able = [e for e in able if e.zone == ran.zone and (row.group is Group.ZONE or e.rack == ran.rack)]
         able = [e for e in able if (not e.memory or e.memory > q.prompt) and self.bears(e, q)]
         able = [e for e in able if e.id not in failed] or able
-        # One engine shunned is a bad engine; when most are, something they share is, and shunning helps nobody.
         trusted = [e for e in able if e.shunned <= self.now and not (e.strikes and (e.reads or e.waiting))]
         return trusted or [e for e in able if e.shunned <= self.now]
 
@@ -294,8 +296,10 @@
         average = sum(o.read_tokens for o in heard) / time if time else FIRST_RATE
         if not e.read_time:
             return average
-        fades = 0.5 ** ((self.now - e.heard) / RATE_FADES)
-        return max(0.01, average + (e.read_tokens / e.read_time - average) * fades)
+        return max(0.01, average + (e.read_tokens / e.read_time - average) * self.faded(e.heard))
+
+    def faded(self, since: int, half: int = RATE_FADES) -> float:
+        return exp2((since - self.now) / half)
 
     def wait(self, e: Engine) -> int:
         oldest = next(iter(e.waiting.values())) if e.waiting else self.now
@@ -328,15 +332,16 @@
         return PRICE_WAIT * due * self.terms.zone_price * (e.zone != self.terms.zone) + min(on, default=0.0)
 
     def link(self, e: Engine, state: Engine) -> float:
-        """What the move out of a reader's rack adds to the wait: as timed of late, or as long as one is out."""
+        """What leaving a reader's rack adds to the wait: as timed of late, or as long as one is out."""
         if e.rack == state.rack:
             return 0.0
         mates = [o for o in self.engines.values() if o.rack == state.rack]
-        timed = max(o.link * 0.5 ** ((self.now - o.linked) / RATE_FADES) for o in mates)
+        timed = max(o.link * self.faded(o.linked) for o in mates)
         return max(timed, max(self.now - next(iter(o.leaving.values()), self.now) for o in mates))
 
     def price(self, e: Engine, state: Engine) -> float:
-        return self.terms.far_price * (e.rack != state.rack) + self.terms.zone_price * (e.zone != self.terms.zone)
+        away = self.terms.zone_price * (e.zone != self.terms.zone)
+        return away + self.terms.far_price * (e.rack != state.rack)
 
     def far(self, e: Engine, state: Engine) -> float:
         return PRICE_LOAD * self.price(e, state) + self.link(e, state) / LINK_LOAD
@@ -366,7 +371,7 @@
         if q.tenant is None:
             return False
         seen, at = self.arrivals[q.tenant]
-        seen = seen * 0.5 ** ((self.now - at) / (2 * SECOND)) + 1
+        seen = seen * self.faded(at, 2 * SECOND) + 1
         self.arrivals[q.tenant] = seen, self.now
         usual = self.terms.tenants[q.tenant].per_second / self.terms.fronts * 2 / 0.693
         return 0 < 1.3 * usual + 2 < seen
@@ -409,9 +414,10 @@
 
     def ended(self, q: Query, e: Engine, out: Outcome, state: Engine | None) -> None:
         self.heard_of(e, out)
-        if state and state.leaving.pop(q.index, None) is not None and out.ending in (Ending.BEGUN, Ending.OVERDUE):
+        left = state is not None and state.leaving.pop(q.index, None) is not None
+        if state and left and out.ending in (Ending.BEGUN, Ending.OVERDUE):
             extra = max(0.0, out.took - e.wait)
-            usual = state.link * 0.5 ** ((self.now - state.linked) / RATE_FADES)
+            usual = state.link * self.faded(state.linked)
             state.link = usual + (extra - usual) / 3
             state.linked = self.now
         e.waiting.pop(q.index, None)
--- a/runspool/simhost/wire.py
+++ b/runspool/simhost/wire.py
@@ -113,7 +113,7 @@
             return None
         figures: dict[str, float] = {}
         for pair in value.split(","):
-            key, colon, figure = pair.partition(":")
+            key, _, figure = pair.partition(":")
             try:
                 figures[key] = float(figure)
             except ValueError:
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,252 @@
+"""Short stories, one for each failure met."""
+
+from __future__ import annotations
+
+import io
+import unittest
+
+from runspool.decisions.interface import Effect, Ending, Group, Report
+from runspool.decisions.rules import SECOND
+from runspool.simhost.host import Host
+from runspool.simhost.wire import Malformed
+from tests.fakehost import MIXED, READER, WRITER, FakeHost, terms
+
+
+class TheDesign(unittest.TestCase):
+    def test_the_writer_is_picked_when_the_read_has_ended(self) -> None:
+        host = FakeHost([READER, WRITER])
+        one = host.ask()
+        self.assertEqual(host.at(one), 0)
+        host.end(one, Ending.READ)
+        self.assertEqual(host.at(one), 1)
+
+    def test_reads_go_to_the_shortest_queue(self) -> None:
+        host = FakeHost([READER, READER, WRITER])
+        one, two = host.ask(5_000), host.ask(500)
+        self.assertNotEqual(host.at(one), host.at(two))
+        self.assertEqual(host.at(host.ask(500)), host.at(two))
+
+    def test_a_session_is_read_where_its_text_is_kept(self) -> None:
+        host = FakeHost([READER, READER, WRITER])
+        one = host.ask(4_000, session=3)
+        home = host.at(one)
+        host.serve(one)
+        host.ask(300, session=4)
+        self.assertEqual(host.at(host.ask(4_200, session=3)), home)
+
+    def test_streams_are_packed_and_the_freed_server_reads(self) -> None:
+        host = FakeHost([READER, MIXED, MIXED])
+        homes = set()
+        for _ in range(4):
+            one = host.ask()
+            if host.at(one) == 0:
+                host.end(one, Ending.READ)
+                homes.add(host.at(one))
+            host.begin(one)
+        self.assertEqual(len(homes), 1)
+
+    def test_an_overloaded_writer_loses_one_stream_a_second(self) -> None:
+        host = FakeHost([READER, WRITER, WRITER])
+        for _ in range(4):
+            one = host.ask()
+            host.end(one, Ending.READ)
+            host.begin(one)
+        busy = host.desk.rules.engines[host.at(one)]
+        busy.cap = 1_000
+        host.wait(SECOND + 1)
+        self.assertEqual([word for word, _ in host.said].count("move"), 1)
+
+
+class TheRules(unittest.TestCase):
+    def test_an_exclusive_shot_that_may_have_run_is_scrapped(self) -> None:
+        host = FakeHost([READER, MIXED, MIXED], terms(Effect.EXCLUSIVE))
+        one = host.ask()
+        if host.at(one) == 0:
+            host.end(one, Ending.READ)
+        host.end(one, Ending.SEVERED)
+        self.assertEqual(host.of(one)[-1], "scrap")
+
+    def test_an_exclusive_shot_known_not_to_have_run_goes_on(self) -> None:
+        host = FakeHost([READER, READER, WRITER, WRITER], terms(Effect.EXCLUSIVE))
+        one = host.ask()
+        host.end(one, Ending.SEVERED)  # a read has no effect
+        host.end(one, Ending.READ)
+        first = host.at(one)
+        host.end(one, Ending.UNREACHABLE)
+        self.assertNotEqual(host.at(one), first)
+        self.assertNotIn("scrap", host.of(one))
+
+    def test_a_ticketed_query_stays_in_its_group_and_window(self) -> None:
+        host = FakeHost([MIXED, MIXED, MIXED], terms(Effect.TICKETED, Group.RACK))
+        host.lines[0].rack = host.lines[1].rack = 1
+        for line in host.lines:
+            host.desk.rules.engines[line.engine].rack = line.rack
+        one = host.ask()
+        home = host.lines[host.at(one)].rack
+        host.end(one, Ending.SEVERED)
+        self.assertTrue(all(host.lines[e].rack == home for q, e, _ in host.shots if q == one))
+        two = host.ask(budget=20 * SECOND)
+        host.now += 6 * SECOND
+        host.end(two, Ending.OVERDUE)
+        self.assertEqual(host.of(two)[-2:], ["send", "scrap"])
+
+    def test_a_held_state_is_let_go_when_no_writer_can_be_had(self) -> None:
+        host = FakeHost([READER, WRITER])
+        one = host.ask()
+        host.tell(1, "gone")
+        host.end(one, Ending.READ)
+        host.wait(3000)
+        self.assertIn("release", host.of(one))
+        host.wait(4 * SECOND)
+        self.assertEqual(host.of(one)[-2:], ["release", "dismiss"])
+
+    def test_a_state_read_for_a_client_that_left_is_let_go(self) -> None:
+        host = FakeHost([READER, WRITER])
+        one = host.ask()
+        host.desk.left(host.now, one)
+        host.end(one, Ending.READ, over=True)
+        self.assertEqual(host.of(one), ["send", "release"])
+
+    def test_the_answer_comes_before_the_client_gives_up(self) -> None:
+        host = FakeHost([READER, WRITER])
+        one = host.ask(budget=SECOND)
+        host.now += SECOND
+        host.end(one, Ending.OVERDUE)
+        self.assertEqual(host.of(one), ["send", "dismiss"])
+
+    def test_a_draining_engine_gets_nothing_new(self) -> None:
+        host = FakeHost([READER, READER, WRITER])
+        host.tell(0, "draining")
+        self.assertEqual({host.at(host.ask()) for _ in range(4)}, {1})
+
+    def test_a_cold_engine_is_not_pushed(self) -> None:
+        host = FakeHost([READER, READER, WRITER])
+        host.serve(host.ask())
+        host.tell(0, started=host.now)
+        for _ in range(6):
+            host.ask()
+        self.assertLessEqual([engine for _, engine, _ in host.shots[-6:]].count(0), 2)
+
+
+class WhatFails(unittest.TestCase):
+    def test_an_engine_that_fails_fast_draws_no_traffic(self) -> None:
+        host = FakeHost([READER, READER, WRITER])
+        one = host.ask()
+        bad = host.at(one)
+        host.end(one, Ending.ERRORED, took=5)
+        self.assertNotIn(bad, {host.at(host.ask(100)) for _ in range(5)})
+
+    def test_an_engine_that_hangs_is_found_by_its_oldest_shot(self) -> None:
+        host = FakeHost([READER, READER, WRITER])
+        hung = host.at(host.ask(100))
+        host.now += 3000
+        for _ in range(3):
+            one = host.ask()
+            self.assertNotEqual(host.at(one), hung)
+            host.serve(one)
+
+    def test_a_shunned_engine_is_tried_again_with_one_shot(self) -> None:
+        host = FakeHost([READER, READER, WRITER])
+        one = host.ask()
+        bad = host.at(one)
+        host.end(one, Ending.ERRORED, took=5)
+        host.serve(one)
+        host.wait(3 * SECOND)
+        tried = [host.at(host.ask(100)) for _ in range(6)]
+        self.assertEqual(tried.count(bad), 1)
+
+    def test_a_lost_state_is_read_again(self) -> None:
+        host = FakeHost([READER, WRITER])
+        one = host.ask()
+        host.end(one, Ending.READ)
+        host.end(one, Ending.STATELESS)
+        self.assertEqual([engine for _, engine, _ in host.shots], [0, 1, 0])
+
+    def test_what_cannot_begin_in_time_is_dismissed_at_once(self) -> None:
+        host = FakeHost([READER, WRITER])
+        host.serve(host.ask())
+        for _ in range(20):
+            last = host.ask(20_000)
+        self.assertEqual(host.of(last), ["dismiss"])
+
+    def test_time_outs_grow_with_the_foreseen_wait(self) -> None:
+        # Against time-outs that feed the load that caused them.
+        host = FakeHost([READER, WRITER])
+        host.serve(host.ask(1_000))
+        host.ask(3_000)
+        _, _, early = host.shots[-1]
+        host.ask(3_000, budget=8 * SECOND)
+        self.assertGreater(host.shots[-1][2], early)
+
+    def test_streaming_mixed_servers_read_when_the_readers_are_behind(self) -> None:
+        host = FakeHost([READER, MIXED, WRITER])
+        first, busy = host.ask(3_000), host.desk.rules.engines[1]
+        if host.at(first) == 1:
+            host.serve(first)
+            first = host.ask(3_000)
+        host.end(first, Ending.READ, took=1_000)
+        busy.streams[99] = busy.tokens = 100
+        host.desk.rules.tariffs[0].out = 50.0
+        self.assertEqual(host.at(host.ask(14_900)), 0)
+        self.assertEqual(host.at(host.ask(900)), 1)
+
+    def test_a_slow_link_keeps_states_in_their_rack(self) -> None:
+        host = FakeHost([READER, WRITER, WRITER])
+        host.desk.rules.engines[2].rack = 1
+        host.desk.rules.engines[0].link = SECOND
+        host.desk.rules.engines[0].linked = host.now
+        for _ in range(5):
+            one = host.ask()
+            host.end(one, Ending.READ)
+            self.assertEqual(host.at(one), 1)
+            host.begin(one)
+
+    def test_hopeless_queries_get_one_answer(self) -> None:
+        self.assertEqual(FakeHost([]).of(1), [])
+        host = FakeHost([READER, WRITER])
+        self.assertEqual(host.of(host.ask(tariff=-1)), ["scrap"])
+        self.assertEqual(host.of(host.ask(200_000)), ["scrap"])
+        self.assertEqual(host.of(host.ask(budget=10)), ["dismiss"])
+        empty = FakeHost([])
+        one = empty.ask()
+        empty.wait(5 * SECOND)
+        self.assertEqual(empty.of(one), ["dismiss"])
+
+    def test_reports_of_a_full_memory_turn_streams_away(self) -> None:
+        host = FakeHost([READER, WRITER, WRITER])
+        one = host.ask()
+        host.end(one, Ending.READ)
+        full = host.at(one)
+        host.begin(one)
+        host.end(one, Ending.SUCCEEDED, over=True, report=Report(memory=0.95))
+        two = host.ask()
+        host.end(two, Ending.READ)
+        self.assertNotEqual(host.at(two), full)
+
+
+class TheWire(unittest.TestCase):
+    @staticmethod
+    def play(*lines: str) -> str:
+        sink = io.BytesIO()
+        Host(io.BytesIO("".join(line + "\n" for line in lines).encode()), sink).serve()
+        return sink.getvalue().decode()
+
+    ATTACH = 'attach front=front/0 random-seed=1 profile-data={"classes":[{"name":"a","effect":"idempotent"}]}'
+
+    def test_a_batch_is_answered_and_unknown_words_are_passed_over(self) -> None:
+        said = self.play("tick time-us=100 seq=4", self.ATTACH, "novelty front=front/0 x=1",
+                         "inbound front=front/0 req=r qos=c time-budget-us=50000 prompt-len=9 new=1", "eof_batch")
+        self.assertIn("finish_error front=front/0 req=r\n", said)
+        self.assertTrue(said.endswith("done seq=4\n"))
+
+    def test_a_malformed_line_is_named(self) -> None:
+        with self.assertRaises(Malformed):
+            self.play("tick time-us=100 seq=4", "inbound front", "eof_batch")
+
+    def test_an_exception_in_the_decisions_reaches_the_wire(self) -> None:
+        said = self.play("tick time-us=100 seq=4", self.ATTACH, "bell front=front/0 token=x.1", "eof_batch")
+        self.assertIn("bail_out front=front/0 reason-text=ValueError", said)
+
+
+if __name__ == "__main__":
+    unittest.main()
