--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -122,7 +122,7 @@
         ran_at = 0
         failed: list[int] = []
         while not q.over and shots < self.terms.max_shots and self.now < limit:
-            if ran and (exclusive or ticketed and self.now >= ran_at + row.terms.window):
+            if ran and (exclusive or (ticketed and self.now >= ran_at + row.terms.window)):
                 break
             engine = (self.pick_writer(q, state, failed, ran) if state
                       else self.pick_reader(q, failed, ran, int((due - self.now) * SPILL)))
@@ -164,7 +164,7 @@
             yield Release()
         if q.over:
             return
-        if ran and (exclusive or ticketed and row.terms.group is not Group.ALL):
+        if ran and (exclusive or (ticketed and row.terms.group is not Group.ALL)):
             yield Scrap()
         else:
             yield Dismiss(self.hold_off(q))
