--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -6,8 +6,9 @@
 1 Overdue age: an engine's oldest unanswered shot is a floor under its predicted wait, and where another shot
   may follow, one is given up past a multiple of what was foreseen.
 2 Distrust: failures shun an engine for a doubling time, then it is tried with one shot at a time.
-3 Patience: a query that cannot begin in time is dismissed before it costs work, sooner beyond a share.
-4 Spill: where no stream-free server can read soon enough, a mixed one that carries streams may.
+3 Line: reads wait at the front while the best reader's queue is long, beyond a tenant's share sooner, and are
+  dismissed once they cannot begin in time.
+4 Spill: where the line of every stream-free server is full, a mixed one that carries streams may read.
 5 Cold share: a starting engine gets a part of what its warm peers get from this front.
 6 Distance: the price of leaving rack or zone counts as wait for readers, as load for writers.
 """
@@ -36,10 +37,9 @@
 LONGEST_BACKOFF = 6 * SECOND
 RETRY = 25 * MILLI  # between looks for an engine while none can be had
 MARGIN = 15 * MILLI  # kept before the hard limit and before a held state must be let go
-PATIENCE = 1.0  # part of the time to the due time that the predicted wait may take
-OVER_SHARE_PATIENCE = 0.3
+LINE = 0.4  # of the shortest due time: a longer queue at a reader would make the hurried late behind the patient
+OVER_SHARE_LINE = 0.1
 SPILL_READ = 0.25  # part of an answer's time that a read beside streams may take
-SPILL = 0.5  # part of the time to the due time past which a wait for a stream-free reader is too long
 SHOT_PART = 0.5  # of the time left, for a shot after which another may follow
 LEAST_CAP = 300 * MILLI
 SLOW = 4  # times the predicted wait before a shot counts as hung
@@ -114,7 +114,8 @@
         exclusive, ticketed = row.terms.effect is Effect.EXCLUSIVE, row.terms.effect is Effect.TICKETED
         limit = self.now + q.budget - MARGIN
         due = min(limit, self.now + row.terms.due + row.terms.due_per_1000 * q.prompt // 1000)
-        patience = (due - self.now) * (OVER_SHARE_PATIENCE if self.over_share(q) else PATIENCE)
+        least = min(t.terms.due for t in self.tariffs)
+        line = int(least * (OVER_SHARE_LINE if self.over_share(q) else LINE))
         state: Engine | None = None
         held = 0  # since when the state waits
         shots = 0
@@ -125,9 +126,12 @@
             if ran and (exclusive or (ticketed and self.now >= ran_at + row.terms.window)):
                 break
             engine = (self.pick_writer(q, state, failed, ran) if state
-                      else self.pick_reader(q, failed, ran, int((due - self.now) * SPILL)))
-            if not shots and engine and self.predicted(engine, q) + self.writing_wait() > patience:
-                break
+                      else self.pick_reader(q, failed, ran, line))
+            if engine and not state:
+                if not shots and self.now + self.predicted(engine, q) + self.writing_wait() > due:
+                    break
+                if self.queue(engine) > line:
+                    engine = None
             if engine is None:
                 until = min(self.now + RETRY, limit)
                 if self.now >= due:
@@ -214,13 +218,13 @@
 
     # The two picks of the design.
 
-    def pick_reader(self, q: Query, failed: list[int], ran: Engine | None, soon: int) -> Engine | None:
+    def pick_reader(self, q: Query, failed: list[int], ran: Engine | None, line: int) -> Engine | None:
         mixed = self.pool(Role.MIXED)
         # A state that nobody can take would only be read to be let go.
         able = self.pool(Role.READER) if mixed or self.pool(Role.WRITER) else []
         able += [e for e in mixed if not self.carries(e)]
         best = self.soonest(q, self.usable(q, able, failed, ran))
-        if best and self.predicted(best, q) <= soon:
+        if best and self.queue(best) <= line:
             return best
         # A read stops the streams beside it, so only one that is short against an answer may join them.
         able += [e for e in mixed if self.carries(e) and self.load(e, q) < DISPATCH
@@ -280,10 +284,16 @@
         return e.report if e.report and self.now - e.reported < FRESH else None
 
     def predicted(self, e: Engine, q: Query) -> int:
+        return self.queue(e) + int(self.to_read(e, q) / self.pace(e))
+
+    def queue(self, e: Engine) -> int:
         seen = self.fresh(e)
-        ahead = e.unread + self.to_read(e, q) + (int(seen.to_read) if seen and seen.to_read else 0)
+        ahead = e.unread + (int(seen.to_read) if seen and seen.to_read else 0)
         oldest = next(iter(e.reads.values()))[0] if e.reads else self.now
-        return int(max(ahead / (self.rate(e) * self.warmth(e)), self.now - oldest))
+        return max(int(ahead / self.pace(e)), self.now - oldest)
+
+    def pace(self, e: Engine) -> float:
+        return self.rate(e) * self.warmth(e)
 
     def to_read(self, e: Engine, q: Query) -> int:
         session = e.kept.get(2 * q.session, 0) if q.session is not None else 0
