--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+from bisect import insort
 from collections.abc import Generator
 from dataclasses import dataclass, field
 from math import exp2
@@ -102,6 +103,7 @@
         self.reserved_reader: Engine | None = None
         self.reserved_writer: Engine | None = None
         self.subscribed = False
+        self.room: list[tuple[bool, int, int]] = []  # reads held at the front, the most pressing first
 
     # The way of one query, and the beat beside it.
 
@@ -115,7 +117,9 @@
         limit = self.now + q.budget - MARGIN
         due = min(limit, self.now + row.terms.due + row.terms.due_per_1000 * q.prompt // 1000)
         least = min(t.terms.due for t in self.tariffs)
-        line = int(least * (OVER_SHARE_LINE if self.over_share(q) else LINE))
+        over = self.over_share(q)
+        line = int(least * (OVER_SHARE_LINE if over else LINE))
+        place = (over, due, q.index)
         state: Engine | None = None
         held = 0  # since when the state waits
         shots = 0
@@ -125,6 +129,11 @@
         while not q.over and shots < self.terms.max_shots and self.now < limit:
             if ran and (exclusive or (ticketed and self.now >= ran_at + row.terms.window)):
                 break
+            if not state and self.room and self.room[0] < place and self.now < due:
+                if place not in self.room:  # held queries go first, and only the foremost looks at the engines
+                    insort(self.room, place)
+                yield Wait(min(self.now + RETRY, due))
+                continue
             engine = (self.pick_writer(q, state, failed, ran) if state
                       else self.pick_reader(q, failed, ran, line))
             if engine and not state:
@@ -133,6 +142,8 @@
                 if self.queue(engine) > line:
                     engine = None
             if engine is None:
+                if not state and place not in self.room:
+                    insort(self.room, place)
                 until = min(self.now + RETRY, limit)
                 if self.now >= due:
                     break
@@ -141,6 +152,8 @@
                     state = None
                 yield Wait(until)
                 continue
+            if place in self.room:
+                self.room.remove(place)
             shots += 1
             effect = engine.role is not Role.READER
             wait = self.wait(engine) + int(self.link(engine, state)) if state else self.predicted(engine, q)
@@ -164,6 +177,8 @@
                 failed.append(engine.id)
             if effect and not ran and out.ending not in NEVER_RAN:
                 ran, ran_at = engine, sent
+        if place in self.room:
+            self.room.remove(place)
         if state:
             yield Release()
         if q.over:
