--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -40,6 +40,7 @@
 MARGIN = 15 * MILLI  # kept before the hard limit and before a held state must be let go
 LINE = 0.4  # of the shortest due time: a longer queue at a reader would make the hurried late behind the patient
 OVER_SHARE_LINE = 0.1
+PATIENCE = 0.7  # of the time to the due time: a first token foreseen later is not waited for
 SPILL_READ = 0.25  # part of an answer's time that a read beside streams may take
 SHOT_PART = 0.5  # of the time left, for a shot after which another may follow
 LEAST_CAP = 300 * MILLI
@@ -116,6 +117,7 @@
         exclusive, ticketed = row.terms.effect is Effect.EXCLUSIVE, row.terms.effect is Effect.TICKETED
         limit = self.now + q.budget - MARGIN
         due = min(limit, self.now + row.terms.due + row.terms.due_per_1000 * q.prompt // 1000)
+        latest = self.now + int((due - self.now) * PATIENCE)
         least = min(t.terms.due for t in self.tariffs)
         over = self.over_share(q)
         line = int(least * (OVER_SHARE_LINE if over else LINE))
@@ -129,15 +131,15 @@
         while not q.over and shots < self.terms.max_shots and self.now < limit:
             if ran and (exclusive or (ticketed and self.now >= ran_at + row.terms.window)):
                 break
-            if not state and self.room and self.room[0] < place and self.now < due:
+            if not state and self.room and self.room[0] < place and self.now < latest:
                 if place not in self.room:  # held queries go first, and only the foremost looks at the engines
                     insort(self.room, place)
-                yield Wait(min(self.now + RETRY, due))
+                yield Wait(min(self.now + RETRY, latest))
                 continue
             engine = (self.pick_writer(q, state, failed, ran) if state
                       else self.pick_reader(q, failed, ran, line))
             if engine and not state:
-                if not shots and self.now + self.predicted(engine, q) + self.writing_wait() > due:
+                if not shots and self.now + self.predicted(engine, q) + self.writing_wait() > latest:
                     break
                 if self.queue(engine) > line:
                     engine = None
