--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -41,6 +41,7 @@
 LINE = 0.4  # of the shortest due time: a longer queue at a reader would make the hurried late behind the patient
 OVER_SHARE_LINE = 0.1
 PATIENCE = 0.7  # of the time to the due time: a first token foreseen later is not waited for
+SPILL_DUTY = 0.3  # part of a server's time that reads beside its streams may take, all fronts together
 SPILL_READ = 0.25  # part of an answer's time that a read beside streams may take
 SHOT_PART = 0.5  # of the time left, for a shot after which another may follow
 LEAST_CAP = 300 * MILLI
@@ -71,6 +72,7 @@
     heard: int = 0
     wait: float = 0.0  # from a send for an answer to its first token
     cap: int = 0
+    rested: int = 0  # when its streams have had their due since the last read beside them
     leaving: dict[int, int] = field(default_factory=dict)  # query: since when its state leaves this rack
     link: float = 0.0  # how much longer than the writer's usual wait such a state took
     linked: int = 0
@@ -243,8 +245,9 @@
         best = self.soonest(q, self.usable(q, able, failed, ran))
         if best and self.queue(best) <= line:
             return best
-        # A read stops the streams beside it, so only one that is short against an answer may join them.
-        able += [e for e in mixed if self.carries(e) and self.load(e, q) < DISPATCH
+        # A read stops the streams beside it: only one short against an answer may join them, and all fronts
+        # together only for a part of the server's time, or streams pile up there and grow late.
+        able += [e for e in mixed if self.carries(e) and self.load(e, q) < DISPATCH and self.now >= e.rested
                  and self.to_read(e, q) / self.rate(e) < SPILL_READ * self.answer_time(q)]
         able = able or mixed or (self.pool(Role.WRITER) if self.terms.writers_read else [])
         return self.soonest(q, self.usable(q, able, failed, ran))
@@ -430,6 +433,8 @@
             tokens = self.to_read(e, q)
             row.work = tokens if not row.work else row.work + (tokens - row.work) / 16
             e.unread += tokens
+            if e.role is Role.MIXED and e.streams:
+                e.rested = self.now + int(tokens / self.pace(e) * self.terms.fronts / SPILL_DUTY)
             e.reads[q.index] = self.now, tokens
         elif e.rack != state.rack:
             state.leaving[q.index] = self.now
