--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -41,7 +41,7 @@
 LINE = 0.4  # of the shortest due time: a longer queue at a reader would make the hurried late behind the patient
 OVER_SHARE_LINE = 0.1
 PATIENCE = 0.7  # of the time to the due time: a first token foreseen later is not waited for
-SPILL_DUTY = 0.3  # part of a server's time that reads beside its streams may take, all fronts together
+SPILL_DUTY = 1.0  # part of a server's time that reads beside its streams may take, all fronts together
 SPILL_READ = 0.25  # part of an answer's time that a read beside streams may take
 SHOT_PART = 0.5  # of the time left, for a shot after which another may follow
 LEAST_CAP = 300 * MILLI
@@ -308,7 +308,9 @@
 
     def queue(self, e: Engine) -> int:
         seen = self.fresh(e)
-        ahead = e.unread + (int(seen.to_read) if seen and seen.to_read else 0)
+        # What a report saw waiting is read meanwhile: an old one must not keep a reader looking full.
+        told = (seen.to_read or 0) - self.pace(e) * (self.now - e.reported) if seen else 0
+        ahead = e.unread + max(0.0, told)
         oldest = next(iter(e.reads.values()))[0] if e.reads else self.now
         return max(int(ahead / self.pace(e)), self.now - oldest)
 
