--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -47,6 +47,7 @@
 LEAST_CAP = 300 * MILLI
 SLOW = 4  # times the predicted wait before a shot counts as hung
 COLD_SAFETY = 0.5
+USUAL_FADES = 30 * SECOND
 PRICE_WAIT = 4.0  # due times of waiting that a full gain's price of distance counts for
 PRICE_LOAD = 12.0  # shares of load that it counts for
 LINK_LOAD = SECOND  # wait for a rack's link that counts as a full load
@@ -106,6 +107,7 @@
         self.reserved_reader: Engine | None = None
         self.reserved_writer: Engine | None = None
         self.subscribed = False
+        self.usual: dict[Role, tuple[float, int]] = {}  # what a warm engine of a role bears, and when seen
         self.room: list[tuple[bool, int, int]] = []  # reads held at the front, the most pressing first
 
     # The way of one query, and the beat beside it.
@@ -388,9 +390,12 @@
         """Against pushing over a cold engine: the sum of all fronts' shares stays under what it can do."""
         if self.warmth(e) == 1.0 or q.tariff is None:
             return True
+        # In a rolling restart few warm peers are left to compare with: what they bore before still counts.
         peers = [o for o in self.engines.values() if o.on and o.role is e.role and self.warmth(o) == 1.0]
-        usual = sum(self.spent(o) for o in peers) / len(peers) if peers else 0.0
-        share = usual * COLD_SAFETY * self.terms.fall_multiple * self.terms.cold_from
+        then, at = self.usual.get(e.role, (0.0, 0))
+        usual = max(then * self.faded(at, USUAL_FADES), sum(map(self.spent, peers)) / max(1, len(peers)))
+        self.usual[e.role] = usual, self.now
+        share = usual * COLD_SAFETY * self.terms.fall_multiple * (self.terms.cold_from + self.warmth(e)) / 2
         mean = sum(t.work for t in self.tariffs) / len(self.tariffs)
         work = self.tariffs[q.tariff].work
         spent = self.spent(e)
