--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -72,6 +72,7 @@
     read_time: float = 0.0
     heard: int = 0
     wait: float = 0.0  # from a send for an answer to its first token
+    waited: int = 0
     cap: int = 0
     rested: int = 0  # when its streams have had their due since the last read beside them
     leaving: dict[int, int] = field(default_factory=dict)  # query: since when its state leaves this rack
@@ -337,11 +338,10 @@
 
     def wait(self, e: Engine) -> int:
         oldest = next(iter(e.waiting.values())) if e.waiting else self.now
-        return max(int(e.wait), self.now - oldest)
+        return max(int(e.wait * self.faded(e.waited)), self.now - oldest)
 
-    def writing_wait(self) -> float:
-        waits = [e.wait for e in self.engines.values() if e.on and e.role is not Role.READER]
-        return min(waits, default=0.0)
+    def writing_wait(self) -> int:
+        return min((self.wait(e) for e in self.engines.values() if e.on and e.role is not Role.READER), default=0)
 
     def load(self, e: Engine, q: Query | None = None) -> float:
         mine = e.tokens + (self.weight(q) if q else 0)
@@ -473,6 +473,7 @@
                 self.keep(e, q)
             elif state and state.rack == e.rack:
                 e.wait += (out.took - e.wait) / 4
+                e.waited = self.now
         elif out.ending in (Ending.FULL, Ending.STATELESS, Ending.VOID, Ending.RECALLED):
             if out.ending is Ending.FULL:
                 if e.role is not Role.READER and not e.cap:
