--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -52,6 +52,7 @@
 PRICE_LOAD = 12.0  # shares of load that it counts for
 LINK_LOAD = SECOND  # wait for a rack's link that counts as a full load
 KEPT_TEXTS = 3000
+FIRSTS = 2000  # first tries remembered
 
 
 @dataclass(slots=True)
@@ -109,6 +110,7 @@
         self.reserved_writer: Engine | None = None
         self.subscribed = False
         self.usual: dict[Role, tuple[float, int]] = {}  # what a warm engine of a role bears, and when seen
+        self.firsts: dict[tuple[int, int], int] = {}  # session and prompt: when its first try came
         self.room: list[tuple[bool, int, int]] = []  # reads held at the front, the most pressing first
 
     # The way of one query, and the beat beside it.
@@ -121,10 +123,12 @@
         row = self.tariffs[q.tariff]
         exclusive, ticketed = row.terms.effect is Effect.EXCLUSIVE, row.terms.effect is Effect.TICKETED
         limit = self.now + q.budget - MARGIN
-        due = min(limit, self.now + row.terms.due + row.terms.due_per_1000 * q.prompt // 1000)
+        due = min(limit, self.born(q) + row.terms.due + row.terms.due_per_1000 * q.prompt // 1000)
+        late = due < self.now + LEAST_CAP
+        due = limit if late else due
         latest = self.now + int((due - self.now) * PATIENCE)
         least = min(t.terms.due for t in self.tariffs)
-        over = self.over_share(q)
+        over = self.over_share(q) or late
         line = int(least * (OVER_SHARE_LINE if over else LINE))
         place = (over, due, q.index)
         state: Engine | None = None
@@ -404,6 +408,16 @@
     def spent(self, e: Engine) -> float:
         return sum(work for at, work in e.sends if at > self.now - self.terms.fall_time)
 
+    def born(self, q: Query) -> int:
+        """Against taking a client's later try for a new query: its due time has run since the first."""
+        if q.session is None:
+            return self.now
+        first = self.firsts.pop((q.session, q.prompt), self.now)  # marked as a retry or not
+        self.firsts[q.session, q.prompt] = first
+        if len(self.firsts) > FIRSTS:
+            del self.firsts[next(iter(self.firsts))]
+        return first
+
     def over_share(self, q: Query) -> bool:
         if q.tenant is None:
             return False
