--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -38,7 +38,7 @@
 LONGEST_BACKOFF = 6 * SECOND
 RETRY = 25 * MILLI  # between looks for an engine while none can be had
 MARGIN = 15 * MILLI  # kept before the hard limit and before a held state must be let go
-LINE = 0.4  # of the shortest due time: a longer queue at a reader would make the hurried late behind the patient
+LINE = 0.4  # of the shortest due time: behind a longer queue the hurried are late on the patient's account
 OVER_SHARE_LINE = 0.1
 PATIENCE = 0.7  # of the time to the due time: a first token foreseen later is not waited for
 SPILL_DUTY = 1.0  # part of a server's time that reads beside its streams may take, all fronts together
@@ -141,8 +141,8 @@
             if ran and (exclusive or (ticketed and self.now >= ran_at + row.terms.window)):
                 break
             if not state and self.room and self.room[0] < place and self.now < latest:
-                if place not in self.room:  # held queries go first, and only the foremost looks at the engines
-                    insort(self.room, place)
+                if place not in self.room:
+                    insort(self.room, place)  # only the foremost looks at the engines, against CPU spent
                 yield Wait(min(self.now + RETRY, latest))
                 continue
             engine = (self.pick_writer(q, state, failed, ran) if state
@@ -345,7 +345,8 @@
         return max(int(e.wait * self.faded(e.waited)), self.now - oldest)
 
     def writing_wait(self) -> int:
-        return min((self.wait(e) for e in self.engines.values() if e.on and e.role is not Role.READER), default=0)
+        writers = self.pool(Role.MIXED) + self.pool(Role.WRITER)
+        return min((self.wait(e) for e in writers), default=0)
 
     def load(self, e: Engine, q: Query | None = None) -> float:
         mine = e.tokens + (self.weight(q) if q else 0)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -117,7 +117,7 @@
     def test_a_draining_engine_gets_nothing_new(self) -> None:
         host = FakeHost([READER, READER, WRITER])
         host.tell(0, "draining")
-        self.assertEqual({host.at(host.ask()) for _ in range(4)}, {1})
+        self.assertEqual({host.at(host.ask(100)) for _ in range(4)}, {1})
 
     def test_a_cold_engine_is_not_pushed(self) -> None:
         host = FakeHost([READER, READER, WRITER])
@@ -190,6 +190,32 @@
         self.assertEqual(host.at(host.ask(14_900)), 0)
         self.assertEqual(host.at(host.ask(900)), 1)
 
+    def test_reads_wait_at_the_front_while_every_line_is_long(self) -> None:
+        host = FakeHost([READER, WRITER])
+        first, second = host.ask(6_000), host.ask(100)
+        self.assertEqual(host.of(second), [])
+        host.end(first, Ending.READ)
+        host.wait(500)
+        self.assertEqual(host.of(second), ["send"])
+
+    def test_a_later_try_has_the_due_time_of_the_first(self) -> None:
+        host = FakeHost([READER, WRITER])
+        host.ask(6_000)
+        first = host.ask(500, session=8)
+        host.wait(9_000)
+        self.assertEqual(host.of(first), ["dismiss"])
+        again = host.ask(500, session=8)
+        self.assertEqual(host.desk.rules.room, [(True, host.now + 4 * SECOND - 150, again)])
+
+    def test_an_old_report_does_not_keep_a_reader_looking_full(self) -> None:
+        host = FakeHost([READER, WRITER])
+        one = host.ask()
+        host.end(one, Ending.READ, report=Report(to_read=24_000))
+        held = host.ask(100)
+        self.assertEqual(host.of(held), [])
+        host.wait(4_000)
+        self.assertEqual(host.of(held), ["send"])
+
     def test_a_slow_link_keeps_states_in_their_rack(self) -> None:
         host = FakeHost([READER, WRITER, WRITER])
         host.desk.rules.engines[2].rack = 1
