--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -130,7 +130,8 @@
         least = min(t.terms.due for t in self.tariffs)
         over = self.over_share(q) or late
         line = int(least * (OVER_SHARE_LINE if over else LINE))
-        place = (over, due, q.index)
+        # Gain brings a query forward; time spent waiting does too, so that no tariff starves.
+        place = (over, self.now + int((due - self.now) / max(row.terms.gain, 0.1)), q.index)
         state: Engine | None = None
         held = 0  # since when the state waits
         shots = 0
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -211,6 +211,7 @@
         host = FakeHost([READER, WRITER])
         one = host.ask()
         host.end(one, Ending.READ, report=Report(to_read=24_000))
+        host.begin(one)
         held = host.ask(100)
         self.assertEqual(host.of(held), [])
         host.wait(4_000)
