--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -50,7 +50,7 @@
 USUAL_FADES = 30 * SECOND
 PRICE_WAIT = 4.0  # due times of waiting that a full gain's price of distance counts for
 PRICE_LOAD = 12.0  # shares of load that it counts for
-LINK_LOAD = SECOND  # wait for a rack's link that counts as a full load
+WAIT_LOAD = SECOND  # wait at a writer or for a rack's link that counts as a full load
 KEPT_TEXTS = 3000
 FIRSTS = 2000  # first tries remembered
 
@@ -267,19 +267,19 @@
     def pick_writer(self, q: Query, state: Engine, failed: list[int], ran: Engine | None) -> Engine | None:
         mixed = self.usable(q, self.pool(Role.MIXED), failed, ran)
         pure = self.usable(q, self.pool(Role.WRITER), failed, ran)
-        line = [e for e in mixed if self.load(e, q) < DISPATCH]
+        line = [e for e in mixed if self.strain(e, q) < DISPATCH]
         packed = [e for e in line if self.carries(e) or e is self.reserved_writer]
         best = max(packed, default=None, key=lambda e: (
             e is self.reserved_writer, self.load(e, q) - self.far(e, state), self.draw()))
-        fewest = min(pure, default=None, key=lambda e: (self.load(e, q) + self.far(e, state), self.draw()))
-        if fewest and self.load(fewest, q) < DISPATCH and (
-                not best or self.load(fewest, q) + self.far(fewest, state) < self.load(best, q)
+        fewest = min(pure, default=None, key=lambda e: (self.strain(e, q) + self.far(e, state), self.draw()))
+        if fewest and self.strain(fewest, q) < DISPATCH and (
+                not best or self.strain(fewest, q) + self.far(fewest, state) < self.strain(best, q)
                 + self.far(best, state)):
             return fewest
         free = [e for e in line if not self.carries(e) and e is not self.reserved_reader]
         best = best or min(free, default=None, key=lambda e: (self.predicted(e, q), self.draw()))
         return best or min(mixed + pure, default=None, key=lambda e: (
-            self.load(e, q) + self.far(e, state), self.draw()))
+            self.strain(e, q) + self.far(e, state), self.draw()))
 
     def overload(self) -> int | None:
         over = [e for e in self.engines.values() if e.on and e.role is not Role.READER and e.streams
@@ -356,6 +356,10 @@
         told = max(seen.memory or 0.0, seen.slots or 0.0) if seen else 0.0
         return max(told, mine / cap if cap else float(len(e.streams))) / self.warmth(e)
 
+    def strain(self, e: Engine, q: Query) -> float:
+        """Load, and the wait for a first token there: a writer that hangs or is jammed must not look roomy."""
+        return self.load(e, q) + self.wait(e) / WAIT_LOAD
+
     def weight(self, q: Query) -> int:
         return q.prompt + int(self.tariffs[q.tariff].out if q.tariff is not None else 0)
 
@@ -384,7 +388,7 @@
         return away + self.terms.far_price * (e.rack != state.rack)
 
     def far(self, e: Engine, state: Engine) -> float:
-        return PRICE_LOAD * self.price(e, state) + self.link(e, state) / LINK_LOAD
+        return PRICE_LOAD * self.price(e, state) + self.link(e, state) / WAIT_LOAD
 
     def warmth(self, e: Engine) -> float:
         if not e.started or self.now >= e.started + self.terms.cold_time:
