--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -76,7 +76,6 @@
     waited: int = 0
     cap: int = 0
     rested: int = 0  # when its streams have had their due since the last read beside them
-    leaving: dict[int, int] = field(default_factory=dict)  # query: since when its state leaves this rack
     link: float = 0.0  # how much longer than the writer's usual wait such a state took
     linked: int = 0
     kept: dict[int, int] = field(default_factory=dict)
@@ -376,12 +375,9 @@
         return PRICE_WAIT * due * self.terms.zone_price * (e.zone != self.terms.zone) + min(on, default=0.0)
 
     def link(self, e: Engine, state: Engine) -> float:
-        """What leaving a reader's rack adds to the wait: as timed of late, or as long as one is out."""
-        if e.rack == state.rack:
-            return 0.0
+        """What leaving a reader's rack adds to the wait, as timed of late."""
         mates = [o for o in self.engines.values() if o.rack == state.rack]
-        timed = max(o.link * self.faded(o.linked) for o in mates)
-        return max(timed, max(self.now - next(iter(o.leaving.values()), self.now) for o in mates))
+        return 0.0 if e.rack == state.rack else max(o.link * self.faded(o.linked) for o in mates)
 
     def price(self, e: Engine, state: Engine) -> float:
         away = self.terms.zone_price * (e.zone != self.terms.zone)
@@ -463,8 +459,6 @@
             if e.role is Role.MIXED and e.streams:
                 e.rested = self.now + int(tokens / self.pace(e) * self.terms.fronts / SPILL_DUTY)
             e.reads[q.index] = self.now, tokens
-        elif e.rack != state.rack:
-            state.leaving[q.index] = self.now
         e.sends.append((self.now, row.work))
         if e.role is not Role.READER:
             e.waiting[q.index] = self.now
@@ -473,8 +467,7 @@
 
     def ended(self, q: Query, e: Engine, out: Outcome, state: Engine | None) -> None:
         self.heard_of(e, out)
-        left = state is not None and state.leaving.pop(q.index, None) is not None
-        if state and left and out.ending in (Ending.BEGUN, Ending.OVERDUE):
+        if state and state.rack != e.rack and out.ending is Ending.BEGUN:
             extra = max(0.0, out.took - e.wait)
             usual = state.link * self.faded(state.linked)
             state.link = usual + (extra - usual) / 3
