--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -64,7 +64,7 @@
     memory: int
     started: int
     on: bool = True
-    reads: dict[int, tuple[int, int]] = field(default_factory=dict)  # query: sent, tokens ahead of its end
+    reads: dict[int, tuple[int, int, int]] = field(default_factory=dict)  # query: sent, tokens, those ahead
     unread: int = 0
     waiting: dict[int, int] = field(default_factory=dict)  # query: sent to be answered, not begun
     streams: dict[int, int] = field(default_factory=dict)  # query: tokens, begun or not
@@ -458,7 +458,7 @@
             e.unread += tokens
             if e.role is Role.MIXED and e.streams:
                 e.rested = self.now + int(tokens / self.pace(e) * self.terms.fronts / SPILL_DUTY)
-            e.reads[q.index] = self.now, tokens
+            e.reads[q.index] = self.now, tokens, e.unread
         e.sends.append((self.now, row.work))
         if e.role is not Role.READER:
             e.waiting[q.index] = self.now
@@ -473,11 +473,10 @@
             state.link = usual + (extra - usual) / 3
             state.linked = self.now
         e.waiting.pop(q.index, None)
-        _, tokens = e.reads.pop(q.index, (0, 0))
+        _, tokens, queue = e.reads.pop(q.index, (0, 0, 0))
         if out.ending in (Ending.READ, Ending.BEGUN, Ending.SUCCEEDED):
             e.strikes = e.shunned = 0
             if tokens:
-                queue = e.unread
                 if out.ending is Ending.READ:
                     queue += max(1, q.prompt - out.kept) - tokens
                 e.read_tokens = e.read_tokens * RATE_KEEPS + max(1, queue)
