--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -6,8 +6,8 @@
 1 Overdue age: an engine's oldest unanswered shot is a floor under its predicted wait, and where another shot
   may follow, one is given up past a multiple of what was foreseen.
 2 Distrust: failures shun an engine for a doubling time, then it is tried with one shot at a time.
-3 Line: reads wait at the front while the best reader's queue is long, beyond a tenant's share sooner, and are
-  dismissed once they cannot begin in time.
+3 Line: reads wait at the front while the best reader's queue is long (beyond a tenant's share sooner) or all
+  writers are full, and are dismissed once they cannot begin in time.
 4 Spill: where the line of every stream-free server is full, a mixed one that carries streams may read.
 5 Cold share: a starting engine gets a part of what its warm peers get from this front.
 6 Distance: the price of leaving rack or zone counts as wait for readers, as load for writers.
@@ -45,7 +45,7 @@
 SPILL_READ = 0.25  # part of an answer's time that a read beside streams may take
 SHOT_PART = 0.5  # of the time left, for a shot after which another may follow
 LEAST_CAP = 300 * MILLI
-SLOW = 6  # times the predicted wait before a shot counts as hung
+SLOW = 4  # times the predicted wait before a shot counts as hung
 COLD_SAFETY = 0.5
 USUAL_FADES = 30 * SECOND
 PRICE_WAIT = 4.0  # due times of waiting that a full gain's price of distance counts for
@@ -150,7 +150,7 @@
             if engine and not state:
                 if not shots and self.now + self.predicted(engine, q) + self.writing_wait() > latest:
                     break
-                if self.queue(engine) > line:
+                if self.queue(engine) > line or self.writers_full(q):
                     engine = None
             if engine is None:
                 if not state and place not in self.room:
@@ -345,8 +345,12 @@
         return max(int(e.wait * self.faded(e.waited)), self.now - oldest)
 
     def writing_wait(self) -> int:
+        return min(map(self.wait, self.pool(Role.MIXED) + self.pool(Role.WRITER)), default=0)
+
+    def writers_full(self, q: Query) -> bool:
+        """Against reading ahead of the writers: such states only wait, or are given up and read again."""
         writers = self.pool(Role.MIXED) + self.pool(Role.WRITER)
-        return min((self.wait(e) for e in writers), default=0)
+        return min((self.strain(e, q) for e in writers), default=0.0) > 1
 
     def load(self, e: Engine, q: Query | None = None) -> float:
         mine = e.tokens + (self.weight(q) if q else 0)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -198,6 +198,26 @@
         host.wait(500)
         self.assertEqual(host.of(second), ["send"])
 
+    def test_nothing_is_read_ahead_of_full_writers(self) -> None:
+        host = FakeHost([READER, WRITER])
+        one = host.ask()
+        host.end(one, Ending.READ)
+        host.begin(one)
+        host.desk.rules.engines[1].cap = 1_000
+        self.assertEqual(host.of(host.ask()), [])
+
+    def test_a_hung_writer_gets_no_more_streams(self) -> None:
+        host = FakeHost([READER, WRITER, WRITER])
+        one = host.ask()
+        host.end(one, Ending.READ)
+        hung = host.at(one)
+        host.now += 5_000
+        for _ in range(4):
+            two = host.ask()
+            host.end(two, Ending.READ)
+            self.assertNotEqual(host.at(two), hung)
+            host.begin(two)
+
     def test_a_later_try_has_the_due_time_of_the_first(self) -> None:
         host = FakeHost([READER, WRITER])
         host.ask(6_000)
