--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -74,6 +74,7 @@
     heard: int = 0
     wait: float = 0.0  # from a send for an answer to its first token
     waited: int = 0
+    begun: int = 0  # when an answer last began
     cap: int = 0
     rested: int = 0  # when its streams have had their due since the last read beside them
     link: float = 0.0  # how much longer than the writer's usual wait such a state took
@@ -360,7 +361,7 @@
         return max(told, mine / cap if cap else float(len(e.streams))) / self.warmth(e)
 
     def strain(self, e: Engine, q: Query) -> float:
-        """Load, and the wait for a first token there: a writer that hangs or is jammed must not look roomy."""
+        """Load, and the wait for a first token there: a hung or jammed writer must not look roomy."""
         return self.load(e, q) + self.wait(e) / WAIT_LOAD
 
     def weight(self, q: Query) -> int:
@@ -471,7 +472,11 @@
 
     def ended(self, q: Query, e: Engine, out: Outcome, state: Engine | None) -> None:
         self.heard_of(e, out)
-        if state and state.rack != e.rack and out.ending is Ending.BEGUN:
+        if out.ending is Ending.BEGUN:
+            e.begun = self.now
+        # A shot given up tells of the link only where its writer has answered others meanwhile.
+        alive = out.ending is Ending.OVERDUE and e.begun > self.now - out.took
+        if state and state.rack != e.rack and (alive or out.ending is Ending.BEGUN):
             extra = max(0.0, out.took - e.wait)
             usual = state.link * self.faded(state.linked)
             state.link = usual + (extra - usual) / 3
