--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -41,18 +41,15 @@
 LINE = 0.4  # of the shortest due time: behind a longer queue the hurried are late on the patient's account
 OVER_SHARE_LINE = 0.1
 PATIENCE = 0.7  # of the time to the due time: a first token foreseen later is not waited for
-SPILL_DUTY = 1.0  # part of a server's time that reads beside its streams may take, all fronts together
 SPILL_READ = 0.25  # part of an answer's time that a read beside streams may take
 SHOT_PART = 0.5  # of the time left, for a shot after which another may follow
 LEAST_CAP = 300 * MILLI
 SLOW = 4  # times the predicted wait before a shot counts as hung
 COLD_SAFETY = 0.5
-USUAL_FADES = 30 * SECOND
 PRICE_WAIT = 4.0  # due times of waiting that a full gain's price of distance counts for
 PRICE_LOAD = 12.0  # shares of load that it counts for
 WAIT_LOAD = SECOND  # wait at a writer or for a rack's link that counts as a full load
 KEPT_TEXTS = 3000
-FIRSTS = 2000  # first tries remembered
 
 
 @dataclass(slots=True)
@@ -110,6 +107,10 @@
         self.reserved_writer: Engine | None = None
         self.subscribed = False
         self.usual: dict[Role, tuple[float, int]] = {}  # what a warm engine of a role bears, and when seen
+        self.surveyed = -1
+        self.links: dict[int, float] = {}  # rack: what leaving it adds to a wait
+        self.averages: dict[Role, float] = {}  # read rates
+        self.roomy: list[Engine] = []  # writers and mixed servers under the dispatch threshold
         self.firsts: dict[tuple[int, int], int] = {}  # session and prompt: when its first try came
         self.room: list[tuple[bool, int, int]] = []  # reads held at the front, the most pressing first
 
@@ -316,7 +317,7 @@
 
     def queue(self, e: Engine) -> int:
         seen = self.fresh(e)
-        # What a report saw waiting is read meanwhile: an old one must not keep a reader looking full.
+        # What a report saw waiting is read meanwhile: an old one must not make a reader look full.
         told = (seen.to_read or 0) - self.pace(e) * (self.now - e.reported) if seen else 0
         ahead = e.unread + max(0.0, told)
         oldest = next(iter(e.reads.values()))[0] if e.reads else self.now
@@ -331,9 +332,8 @@
         return max(1, q.prompt - max(min(session, q.prompt), min(shared, q.beginning_length)))
 
     def rate(self, e: Engine) -> float:
-        heard = [o for o in self.engines.values() if o.on and o.role is e.role and o.read_time]
-        time = sum(o.read_time for o in heard)
-        average = sum(o.read_tokens for o in heard) / time if time else FIRST_RATE
+        self.survey()
+        average = self.averages.get(e.role, FIRST_RATE)
         if not e.read_time:
             return average
         return max(0.01, average + (e.read_tokens / e.read_time - average) * self.faded(e.heard))
@@ -374,15 +374,30 @@
     def distance(self, e: Engine, q: Query) -> float:
         """A read away from its writers pays for the move of its state, one on a mixed server never does."""
         due = min(t.terms.due for t in self.tariffs)  # those in the most hurry wait behind this one
-        on = [] if e.role is not Role.READER else [
-            PRICE_WAIT * due * self.price(w, e) + self.link(w, e) for w in self.engines.values()
-            if w.on and w.role is not Role.READER and self.load(w, q) < DISPATCH]
-        return PRICE_WAIT * due * self.terms.zone_price * (e.zone != self.terms.zone) + min(on, default=0.0)
+        self.survey()
+        roomy = self.roomy if e.role is Role.READER else []
+        on = min((PRICE_WAIT * due * self.price(w, e) + self.link(w, e) for w in roomy), default=0.0)
+        return PRICE_WAIT * due * self.terms.zone_price * (e.zone != self.terms.zone) + on
 
     def link(self, e: Engine, state: Engine) -> float:
         """What leaving a reader's rack adds to the wait, as timed of late."""
-        mates = [o for o in self.engines.values() if o.rack == state.rack]
-        return 0.0 if e.rack == state.rack else max(o.link * self.faded(o.linked) for o in mates)
+        self.survey()
+        return 0.0 if e.rack == state.rack else self.links.get(state.rack, 0.0)
+
+    def survey(self) -> None:
+        """Figures over all engines, once a moment: a fleet times a burst would cost too much CPU."""
+        if self.surveyed == self.now:
+            return
+        self.surveyed, self.links = self.now, {}
+        read: dict[Role, tuple[float, float]] = {}
+        for e in self.engines.values():
+            self.links[e.rack] = max(self.links.get(e.rack, 0.0), e.link * self.faded(e.linked))
+            if e.on and e.read_time:
+                tokens, time = read.get(e.role, (0.0, 0.0))
+                read[e.role] = tokens + e.read_tokens, time + e.read_time
+        self.averages = {role: tokens / time for role, (tokens, time) in read.items()}
+        writers = self.pool(Role.MIXED) + self.pool(Role.WRITER)
+        self.roomy = [e for e in writers if self.load(e) < DISPATCH]
 
     def price(self, e: Engine, state: Engine) -> float:
         away = self.terms.zone_price * (e.zone != self.terms.zone)
@@ -404,7 +419,7 @@
         # In a rolling restart few warm peers are left to compare with: what they bore before still counts.
         peers = [o for o in self.engines.values() if o.on and o.role is e.role and self.warmth(o) == 1.0]
         then, at = self.usual.get(e.role, (0.0, 0))
-        usual = max(then * self.faded(at, USUAL_FADES), sum(map(self.spent, peers)) / max(1, len(peers)))
+        usual = max(then * self.faded(at, 6 * RATE_FADES), sum(map(self.spent, peers)) / max(1, len(peers)))
         self.usual[e.role] = usual, self.now
         share = usual * COLD_SAFETY * self.terms.fall_multiple * (self.terms.cold_from + self.warmth(e)) / 2
         mean = sum(t.work for t in self.tariffs) / len(self.tariffs)
@@ -421,7 +436,7 @@
             return self.now
         first = self.firsts.pop((q.session, q.prompt), self.now)  # marked as a retry or not
         self.firsts[q.session, q.prompt] = first
-        if len(self.firsts) > FIRSTS:
+        if len(self.firsts) > KEPT_TEXTS:
             del self.firsts[next(iter(self.firsts))]
         return first
 
@@ -462,7 +477,7 @@
             row.work = tokens if not row.work else row.work + (tokens - row.work) / 16
             e.unread += tokens
             if e.role is Role.MIXED and e.streams:
-                e.rested = self.now + int(tokens / self.pace(e) * self.terms.fronts / SPILL_DUTY)
+                e.rested = self.now + int(tokens / self.pace(e) * self.terms.fronts)
             e.reads[q.index] = self.now, tokens, e.unread
         e.sends.append((self.now, row.work))
         if e.role is not Role.READER:
@@ -471,7 +486,7 @@
             e.tokens += e.streams[q.index]
 
     def ended(self, q: Query, e: Engine, out: Outcome, state: Engine | None) -> None:
-        self.heard_of(e, out)
+        e.report, e.reported = (out.report, self.now) if out.report else (e.report, e.reported)
         if out.ending is Ending.BEGUN:
             e.begun = self.now
         # A shot given up tells of the link only where its writer has answered others meanwhile.
@@ -508,7 +523,7 @@
             e.tokens -= e.streams.pop(q.index, 0)
 
     def streamed(self, q: Query, e: Engine, out: Outcome) -> None:
-        self.heard_of(e, out)
+        e.report, e.reported = (out.report, self.now) if out.report else (e.report, e.reported)
         e.tokens -= e.streams.pop(q.index, 0)
         if out.ending is Ending.SUCCEEDED and q.tariff is not None:
             row = self.tariffs[q.tariff]
@@ -518,10 +533,6 @@
             e.shunned = self.now + min(LONGEST_BACKOFF, BACKOFF << min(e.strikes, 10))
             e.strikes += 1
 
-    def heard_of(self, e: Engine, out: Outcome) -> None:
-        if out.report:
-            e.report, e.reported = out.report, self.now
-
     def keep(self, e: Engine, q: Query) -> None:
         for key, parity, length in ((q.session, 0, q.prompt), (q.beginning, 1, q.beginning_length)):
             if key is not None:
