Size: others' load pooled over the fleet, blind fronts, moves shared, cold share by one draw

Change: others' streams are estimated as this front's, by engine as far as own streams are evidence, else by the fleet; with under one own stream a writer no mixed server counts as stream-free; moves are drawn once a second for all fronts; a cold engine is offered a part of the traffic by one draw a query, which needs no history. Harm: a mixed-only fleet with few own streams reads anywhere.

--- a/runspool/decisions/interface.py
+++ b/runspool/decisions/interface.py
@@ -136,6 +136,7 @@
     resent: bool
     again: bool
     over: bool = False  # the front sets it once nothing more is owed
+    luck: float = 0.0  # the decisions' own draw
 
 
 @dataclass(slots=True)
--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -45,11 +45,13 @@
 SHOT_PART = 0.5  # of the time left, for a shot after which another may follow
 LEAST_CAP = 300 * MILLI
 SLOW = 4  # times the predicted wait before a shot counts as hung
-COLD_SAFETY = 0.5
+COLD_SAFETY = 0.4
+GOLDEN = 0.618034  # spreads one draw over many engines
 PRICE_WAIT = 4.0  # due times of waiting that a full gain's price of distance counts for
 PRICE_LOAD = 12.0  # shares of load that it counts for
 WAIT_LOAD = SECOND  # wait at a writer or for a rack's link that counts as a full load
 KEPT_TEXTS = 3000
+EVIDENCE = 4  # own streams at an engine that weigh as much there as what the whole fleet bears
 
 
 @dataclass(slots=True)
@@ -81,18 +83,16 @@
     reported: int = 0
     strikes: int = 0
     shunned: int = 0
-    sends: list[tuple[int, float]] = field(default_factory=list)  # time and work, newest last
 
 
 class Tariff:
     """A row of the one table by tariff: the terms, and what this front has learned."""
 
-    __slots__ = ("out", "terms", "work")
+    __slots__ = ("out", "terms")
 
     def __init__(self, terms: TariffTerms) -> None:
         self.terms = terms
         self.out = 0.0  # running estimate of an answer's tokens
-        self.work = 0.0  # running mean of tokens to read
 
 
 class Rules:
@@ -106,17 +106,18 @@
         self.reserved_reader: Engine | None = None
         self.reserved_writer: Engine | None = None
         self.subscribed = False
-        self.usual: dict[Role, tuple[float, int]] = {}  # what a warm engine of a role bears, and when seen
         self.surveyed = -1
         self.links: dict[int, float] = {}  # rack: what leaving it adds to a wait
         self.averages: dict[Role, float] = {}  # read rates
+        self.borne = 0.0  # own streams' part of all writers' memory
+        self.blind = False  # own streams are too few to tell which mixed servers carry any
         self.roomy: list[Engine] = []  # writers and mixed servers under the dispatch threshold
         self.firsts: dict[tuple[int, int], int] = {}  # session and prompt: when its first try came
         self.room: list[tuple[bool, int, int]] = []  # reads held at the front, the most pressing first
 
-    # The way of one query, and the beat beside it.
 
     def query(self, q: Query) -> Generator[Ask, Outcome | None, None]:
+        q.luck = self.draw()
         largest = max((e.memory for e in self.engines.values() if e.on), default=0)
         if q.tariff is None or (0 < largest < q.prompt):
             yield Scrap()  # no later try would go better
@@ -207,7 +208,9 @@
                 self.subscribed = True
                 yield Subscribe()
             yield Wait(self.now + SECOND)
-            victim = self.overload() if self.terms.resumes else None
+            # One stream a second is stopped by all fronts together, as far as each can tell.
+            mine = self.terms.resumes and self.draw() * self.terms.fronts < 1
+            victim = self.overload() if mine else None
             if victim is not None:
                 yield Move(victim)
 
@@ -266,8 +269,7 @@
                                         e is not self.reserved_reader, self.draw()), default=None)
 
     def pick_writer(self, q: Query, state: Engine, failed: list[int], ran: Engine | None) -> Engine | None:
-        mixed = self.usable(q, self.pool(Role.MIXED), failed, ran)
-        pure = self.usable(q, self.pool(Role.WRITER), failed, ran)
+        mixed, pure = (self.usable(q, self.pool(r), failed, ran) for r in (Role.MIXED, Role.WRITER))
         line = [e for e in mixed if self.strain(e, q) < DISPATCH]
         packed = [e for e in line if self.carries(e) or e is self.reserved_writer]
         best = max(packed, default=None, key=lambda e: (
@@ -300,14 +302,16 @@
         row = self.tariffs[q.tariff].terms if q.tariff is not None else None
         if ran and row and row.effect is Effect.TICKETED and row.group is not Group.ALL:
             able = [e for e in able if e.zone == ran.zone and (row.group is Group.ZONE or e.rack == ran.rack)]
-        able = [e for e in able if (not e.memory or e.memory > q.prompt) and self.bears(e, q)]
+        able = [e for e in able if (not e.memory or e.memory > q.prompt) and self.bears(e, q.luck)]
         able = [e for e in able if e.id not in failed] or able
         trusted = [e for e in able if e.shunned <= self.now and not (e.strikes and (e.reads or e.waiting))]
         return trusted or [e for e in able if e.shunned <= self.now]
 
     def carries(self, e: Engine) -> bool:
+        """With under one own stream a writer, none of mine at one says nothing of the other fronts' there."""
+        self.survey()
         seen = self.fresh(e)
-        return bool(e.streams) or bool(seen and seen.in_flight and seen.in_flight >= 1)
+        return self.blind or bool(e.streams) or bool(seen and seen.in_flight and seen.in_flight >= 1)
 
     def fresh(self, e: Engine) -> Report | None:
         return e.report if e.report and self.now - e.reported < FRESH else None
@@ -354,11 +358,19 @@
         return min((self.strain(e, q) for e in writers), default=0.0) > 1
 
     def load(self, e: Engine, q: Query | None = None) -> float:
+        """Own streams, and the other fronts' as this front's: by this engine's as far as they are evidence,
+        else by the fleet's, or one stream of a hundred fronts' would look like a full engine."""
         mine = e.tokens + (self.weight(q) if q else 0)
-        cap = e.cap or e.memory / self.terms.fronts
+        cap = e.cap or e.memory
         seen = self.fresh(e)
         told = max(seen.memory or 0.0, seen.slots or 0.0) if seen else 0.0
-        return max(told, mine / cap if cap else float(len(e.streams))) / self.warmth(e)
+        return max(told, (mine + self.others(e)) / cap if cap else float(len(e.streams))) / self.warmth(e)
+
+    def others(self, e: Engine) -> float:
+        self.survey()
+        sure = len(e.streams) / (len(e.streams) + EVIDENCE)
+        usual = self.borne * (e.memory or 1)
+        return (self.terms.fronts - 1) * (usual + (e.tokens - usual) * sure)
 
     def strain(self, e: Engine, q: Query) -> float:
         """Load, and the wait for a first token there: a hung or jammed writer must not look roomy."""
@@ -397,6 +409,8 @@
                 read[e.role] = tokens + e.read_tokens, time + e.read_time
         self.averages = {role: tokens / time for role, (tokens, time) in read.items()}
         writers = self.pool(Role.MIXED) + self.pool(Role.WRITER)
+        self.blind = self.terms.fronts > 1 and sum(len(e.streams) for e in writers) < len(writers)
+        self.borne = sum(e.tokens for e in writers) / max(1, sum(e.memory or 1 for e in writers))
         self.roomy = [e for e in writers if self.load(e) < DISPATCH]
 
     def price(self, e: Engine, state: Engine) -> float:
@@ -412,23 +426,14 @@
         grown = (self.now - e.started) / self.terms.cold_time
         return self.terms.cold_from + (1 - self.terms.cold_from) * max(0.0, grown)
 
-    def bears(self, e: Engine, q: Query) -> bool:
-        """Against pushing over a cold engine: the sum of all fronts' shares stays under what it can do."""
-        if self.warmth(e) == 1.0 or q.tariff is None:
+    def bears(self, e: Engine, luck: float) -> bool:
+        """Against pushing over a cold engine: it may be offered so much of this front's traffic that all fronts'
+        traffic, offered alike, stays under what it can do; one draw a query, or waiting would be trying again."""
+        warmth = self.warmth(e)
+        if warmth == 1.0:
             return True
-        # In a rolling restart few warm peers are left to compare with: what they bore before still counts.
-        peers = [o for o in self.engines.values() if o.on and o.role is e.role and self.warmth(o) == 1.0]
-        then, at = self.usual.get(e.role, (0.0, 0))
-        usual = max(then * self.faded(at, 6 * RATE_FADES), sum(map(self.spent, peers)) / max(1, len(peers)))
-        self.usual[e.role] = usual, self.now
-        share = usual * COLD_SAFETY * self.terms.fall_multiple * (self.terms.cold_from + self.warmth(e)) / 2
-        mean = sum(t.work for t in self.tariffs) / len(self.tariffs)
-        work = self.tariffs[q.tariff].work
-        spent = self.spent(e)
-        return spent + work <= share or (not spent and work <= mean)
-
-    def spent(self, e: Engine) -> float:
-        return sum(work for at, work in e.sends if at > self.now - self.terms.fall_time)
+        peers = sum(o.on and (o.role is Role.READER) == (e.role is Role.READER) for o in self.engines.values())
+        return (luck + e.id * GOLDEN) % 1 < COLD_SAFETY * self.terms.fall_multiple * warmth / peers
 
     def born(self, q: Query) -> int:
         """Against taking a client's later try for a new query: its due time has run since the first."""
@@ -469,17 +474,12 @@
     # What shots teach.
 
     def sent(self, q: Query, e: Engine, state: Engine | None, cap: int) -> None:
-        assert q.tariff is not None
-        row = self.tariffs[q.tariff]
-        e.sends = [s for s in e.sends if s[0] > self.now - self.terms.fall_time]
         if state is None:
             tokens = self.to_read(e, q)
-            row.work = tokens if not row.work else row.work + (tokens - row.work) / 16
             e.unread += tokens
             if e.role is Role.MIXED and e.streams:
                 e.rested = self.now + int(tokens / self.pace(e) * self.terms.fronts)
             e.reads[q.index] = self.now, tokens, e.unread
-        e.sends.append((self.now, row.work))
         if e.role is not Role.READER:
             e.waiting[q.index] = self.now
             e.streams[q.index] = self.weight(q)
@@ -513,7 +513,7 @@
         elif out.ending in (Ending.FULL, Ending.STATELESS, Ending.VOID, Ending.RECALLED):
             if out.ending is Ending.FULL:
                 if e.role is not Role.READER and not e.cap:
-                    e.cap = max(e.tokens, e.memory // self.terms.fronts // 2)
+                    e.cap = max(e.tokens + int(self.others(e)), e.memory // 2)
                 e.shunned = max(e.shunned, self.now + BACKOFF)
         else:
             e.shunned = self.now + min(LONGEST_BACKOFF, BACKOFF << min(e.strikes, 10))
