--- a/runspool/decisions/interface.py
+++ b/runspool/decisions/interface.py
@@ -119,6 +119,7 @@
     rack: int
     started: int
     state: str  # "on", "draining" or "gone"
+    mark: int = 1  # drawn from the name alone: the same at every front
 
 
 @dataclass(slots=True)
@@ -136,7 +137,10 @@
     resent: bool
     again: bool
     over: bool = False  # the front sets it once nothing more is owed
-    luck: float = 0.0  # the decisions' own draw
+    luck: float = 0.0  # the decisions' own draw, and the readers where they suppose its text to be kept
+    homes: list[int] = field(default_factory=list)
+    session_mark: int = 0  # drawn from the name alone: the same at every front
+    beginning_mark: int = 0
 
 
 @dataclass(slots=True)
--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -18,7 +18,7 @@
 from bisect import insort
 from collections.abc import Generator
 from dataclasses import dataclass, field
-from math import exp2
+from math import exp2, log
 from random import Random
 
 from runspool.decisions.interface import (
@@ -31,8 +31,7 @@
 DISPATCH = 0.8  # fraction of a mixed server's cap up to which streams are packed on it
 CEILING = 1.2  # fraction of a writer's cap above which a stream is stopped
 FRESH = 2 * SECOND  # a report older than this says nothing of now
-RATE_KEEPS = 0.85  # what an older sample of the read rate still weighs beside the next
-RATE_FADES = 5 * SECOND  # half-life of an unheard engine's rate on its way back to the average
+FADES = 5 * SECOND  # half-life of what an unheard engine has taught
 FIRST_RATE = 1.0  # tokens a tenth of a millisecond, before any read has been timed
 BACKOFF = 200 * MILLI
 LONGEST_BACKOFF = 6 * SECOND
@@ -40,9 +39,9 @@
 MARGIN = 15 * MILLI  # kept before the hard limit and before a held state must be let go
 LINE = 0.4  # of the shortest due time: behind a longer queue the hurried are late on the patient's account
 OVER_SHARE_LINE = 0.1
-PATIENCE = 0.7  # of the time to the due time: a first token foreseen later is not waited for
+PATIENCE = 0.4  # of the time to the due time: a first token foreseen later is not waited for
 SPILL_READ = 0.25  # part of an answer's time that a read beside streams may take
-SHOT_PART = 0.5  # of the time left, for a shot after which another may follow
+SHOT_PART = 0.8  # of the time left, for a shot after which another may follow
 LEAST_CAP = 300 * MILLI
 SLOW = 4  # times the predicted wait before a shot counts as hung
 COLD_SAFETY = 0.4
@@ -51,12 +50,25 @@
 PRICE_LOAD = 12.0  # shares of load that it counts for
 WAIT_LOAD = SECOND  # wait at a writer or for a rack's link that counts as a full load
 KEPT_TEXTS = 3000
-EVIDENCE = 4  # own streams at an engine that weigh as much there as what the whole fleet bears
+READ_WEIGHT = 3  # times a read's own time that its tokens count for in the pick
+HOMES = 3.0  # readers' fair parts that a popular beginning is spread over
+MARKS = 0xFFFFFFFF
+READER_ROOM = 1.4  # times its usual part that a reader takes where its rack has writers to spare
+EVIDENCE = 4  # own streams that weigh as much, of what others have at an engine, as the fleet's mean
+
+
+@dataclass(slots=True)
+class Known:
+    """A time learned from shots, which fades to what is usual while nothing is heard."""
+
+    time: float = 0.0
+    heard: int = 0
 
 
 @dataclass(slots=True)
 class Engine:
     id: int
+    mark: int  # the same at every front
     role: Role
     zone: int
     rack: int
@@ -68,11 +80,8 @@
     waiting: dict[int, int] = field(default_factory=dict)  # query: sent to be answered, not begun
     streams: dict[int, int] = field(default_factory=dict)  # query: tokens, begun or not
     tokens: int = 0
-    read_tokens: float = 0.0
-    read_time: float = 0.0
-    heard: int = 0
-    wait: float = 0.0  # from a send for an answer to its first token
-    waited: int = 0
+    lag: Known = field(default_factory=Known)  # a read's time beyond its tokens and those known ahead
+    wait: Known = field(default_factory=Known)  # from a send for an answer to its first token
     begun: int = 0  # when an answer last began
     cap: int = 0
     rested: int = 0  # when its streams have had their due since the last read beside them
@@ -88,10 +97,11 @@
 class Tariff:
     """A row of the one table by tariff: the terms, and what this front has learned."""
 
-    __slots__ = ("out", "terms")
+    __slots__ = ("kept", "out", "terms")
 
     def __init__(self, terms: TariffTerms) -> None:
         self.terms = terms
+        self.kept = 0.0  # part of a prompt found kept at its session's home
         self.out = 0.0  # running estimate of an answer's tokens
 
 
@@ -108,16 +118,22 @@
         self.subscribed = False
         self.surveyed = -1
         self.links: dict[int, float] = {}  # rack: what leaving it adds to a wait
-        self.averages: dict[Role, float] = {}  # read rates
+        self.rates = dict.fromkeys(Role, FIRST_RATE)  # read rates
+        self.lags = {role: Known() for role in Role}  # what is usual with engines of a role
+        self.waits = {role: Known() for role in Role}
+        self.carried = 0.0  # own streams a writer
         self.borne = 0.0  # own streams' part of all writers' memory
         self.blind = False  # own streams are too few to tell which mixed servers carry any
-        self.roomy: list[Engine] = []  # writers and mixed servers under the dispatch threshold
+        self.beginnings: list[int] = []  # those of the last queries
+        self.trust = 0.7  # part of a supposed beginning that was found kept
+        self.balance: dict[int, float] = {}  # rack: its writers under the threshold a reader, 1 is usual
         self.firsts: dict[tuple[int, int], int] = {}  # session and prompt: when its first try came
         self.room: list[tuple[bool, int, int]] = []  # reads held at the front, the most pressing first
 
 
     def query(self, q: Query) -> Generator[Ask, Outcome | None, None]:
         q.luck = self.draw()
+        q.homes = self.homes(q)
         largest = max((e.memory for e in self.engines.values() if e.on), default=0)
         if q.tariff is None or (0 < largest < q.prompt):
             yield Scrap()  # no later try would go better
@@ -236,7 +252,7 @@
             known = 0 <= line.kind < len(self.terms.kinds)
             kind = self.terms.kinds[line.kind] if known else None
             role, memory = (kind.role, kind.memory) if kind else (Role.MIXED, 0)
-            e = Engine(line.engine, role, line.zone, line.rack, memory, line.started)
+            e = Engine(line.engine, line.mark, role, line.zone, line.rack, memory, line.started)
             self.engines[line.engine] = e
         e.on = line.state == "on"
 
@@ -260,12 +276,14 @@
         # A read stops the streams beside it: only one short against an answer may join them, and all fronts
         # together only for a part of the server's time, or streams pile up there and grow late.
         able += [e for e in mixed if self.carries(e) and self.load(e, q) < DISPATCH and self.now >= e.rested
-                 and self.to_read(e, q) / self.rate(e) < SPILL_READ * self.answer_time(q)]
+                 and self.to_read(e, q) / self.pace(e) < SPILL_READ * self.answer_time(q)]
         able = able or mixed or (self.pool(Role.WRITER) if self.terms.writers_read else [])
         return self.soonest(q, self.usable(q, able, failed, ran))
 
     def soonest(self, q: Query, able: list[Engine]) -> Engine | None:
-        return min(able, key=lambda e: (self.predicted(e, q) + self.distance(e, q),
+        # What is read again delays all that come after, here and at the other fronts.
+        return min(able, key=lambda e: (self.predicted(e, q) + self.distance(e, q)
+                                        + (READ_WEIGHT - 1) * self.to_read(e, q) / self.pace(e),
                                         e is not self.reserved_reader, self.draw()), default=None)
 
     def pick_writer(self, q: Query, state: Engine, failed: list[int], ran: Engine | None) -> Engine | None:
@@ -273,7 +291,8 @@
         line = [e for e in mixed if self.strain(e, q) < DISPATCH]
         packed = [e for e in line if self.carries(e) or e is self.reserved_writer]
         best = max(packed, default=None, key=lambda e: (
-            e is self.reserved_writer, self.load(e, q) - self.far(e, state), self.draw()))
+            e is self.reserved_writer and e.rack == state.rack, self.load(e, q) - self.far(e, state),
+            self.draw()))
         fewest = min(pure, default=None, key=lambda e: (self.strain(e, q) + self.far(e, state), self.draw()))
         if fewest and self.strain(fewest, q) < DISPATCH and (
                 not best or self.strain(fewest, q) + self.far(fewest, state) < self.strain(best, q)
@@ -317,7 +336,7 @@
         return e.report if e.report and self.now - e.reported < FRESH else None
 
     def predicted(self, e: Engine, q: Query) -> int:
-        return self.queue(e) + int(self.to_read(e, q) / self.pace(e))
+        return self.queue(e) + int(self.to_read(e, q) / self.pace(e) + self.lag(e))
 
     def queue(self, e: Engine) -> int:
         seen = self.fresh(e)
@@ -328,26 +347,54 @@
         return max(int(ahead / self.pace(e)), self.now - oldest)
 
     def pace(self, e: Engine) -> float:
-        return self.rate(e) * self.warmth(e)
+        return self.rates[e.role] * self.warmth(e)
 
     def to_read(self, e: Engine, q: Query) -> int:
         session = e.kept.get(2 * q.session, 0) if q.session is not None else 0
         shared = e.kept.get(2 * q.beginning + 1, 0) if q.beginning is not None else 0
+        if e.id in q.homes:
+            shared = max(shared, int(q.beginning_length * self.trust))
+            if e.id == q.homes[0] and q.tariff is not None:
+                session = max(session, int(q.prompt * self.tariffs[q.tariff].kept))
         return max(1, q.prompt - max(min(session, q.prompt), min(shared, q.beginning_length)))
 
-    def rate(self, e: Engine) -> float:
-        self.survey()
-        average = self.averages.get(e.role, FIRST_RATE)
-        if not e.read_time:
-            return average
-        return max(0.01, average + (e.read_tokens / e.read_time - average) * self.faded(e.heard))
-
-    def faded(self, since: int, half: int = RATE_FADES) -> float:
+    def homes(self, q: Query) -> list[int]:
+        """The readers at which every front supposes a text to be kept, the session's own first: one of many
+        fronts has hardly ever read a text itself. A beginning has the more homes the more ask for it."""
+        able = self.pool(Role.READER)
+        if q.beginning is not None:
+            part = sum(b == q.beginning for b in self.beginnings) / max(8, len(self.beginnings))
+            self.beginnings = [*self.beginnings[-63:], q.beginning]
+            able.sort(key=lambda e: self.turn(e, q.beginning_mark))
+            able = able[:1 + int(HOMES * part * len(able))]
+        able.sort(key=lambda e: (e.zone != self.terms.zone, self.turn(e, q.session_mark)))
+        return [e.id for e in able]
+
+    def turn(self, e: Engine, mark: int) -> float:
+        """The place of a reader in the order all fronts draw alike for a text, by what its rack can write."""
+        drawn = (e.mark * (2 * mark + 1) & MARKS) + 1
+        return -log(drawn / (MARKS + 2)) / max(0.1, min(READER_ROOM, self.balance.get(e.rack, 1.0)))
+
+    def lag(self, e: Engine) -> float:
+        """What other fronts sent there, or its slowness, cost; an unheard engine counts as its peers."""
+        return self.expected(e.lag, self.lags[e.role])
+
+    def expected(self, own: Known, peers: Known) -> float:
+        usual = peers.time * self.faded(peers.heard)
+        return usual + (own.time - usual) * self.faded(own.heard)
+
+    def learn(self, own: Known, peers: Known, time: float) -> None:
+        before = self.expected(own, peers)
+        usual = peers.time * self.faded(peers.heard)
+        own.time, peers.time = before + (time - before) / 4, usual + (time - usual) / 8
+        own.heard = peers.heard = self.now
+
+    def faded(self, since: int, half: int = FADES) -> float:
         return exp2((since - self.now) / half)
 
     def wait(self, e: Engine) -> int:
         oldest = next(iter(e.waiting.values())) if e.waiting else self.now
-        return max(int(e.wait * self.faded(e.waited)), self.now - oldest)
+        return max(int(self.expected(e.wait, self.waits[e.role])), self.now - oldest)
 
     def writing_wait(self) -> int:
         return min(map(self.wait, self.pool(Role.MIXED) + self.pool(Role.WRITER)), default=0)
@@ -368,9 +415,8 @@
 
     def others(self, e: Engine) -> float:
         self.survey()
-        sure = len(e.streams) / (len(e.streams) + EVIDENCE)
         usual = self.borne * (e.memory or 1)
-        return (self.terms.fronts - 1) * (usual + (e.tokens - usual) * sure)
+        return (self.terms.fronts - 1) * usual * (EVIDENCE + len(e.streams)) / (EVIDENCE + self.carried)
 
     def strain(self, e: Engine, q: Query) -> float:
         """Load, and the wait for a first token there: a hung or jammed writer must not look roomy."""
@@ -387,9 +433,9 @@
         """A read away from its writers pays for the move of its state, one on a mixed server never does."""
         due = min(t.terms.due for t in self.tariffs)  # those in the most hurry wait behind this one
         self.survey()
-        roomy = self.roomy if e.role is Role.READER else []
-        on = min((PRICE_WAIT * due * self.price(w, e) + self.link(w, e) for w in roomy), default=0.0)
-        return PRICE_WAIT * due * self.terms.zone_price * (e.zone != self.terms.zone) + on
+        leaves = max(0.0, 1 - self.balance.get(e.rack, 1.0)) if e.role is Role.READER else 0.0
+        return (PRICE_WAIT * due * self.terms.zone_price * (e.zone != self.terms.zone)
+                + leaves * (PRICE_WAIT * due * self.terms.far_price + self.links.get(e.rack, 0.0)))
 
     def link(self, e: Engine, state: Engine) -> float:
         """What leaving a reader's rack adds to the wait, as timed of late."""
@@ -401,17 +447,20 @@
         if self.surveyed == self.now:
             return
         self.surveyed, self.links = self.now, {}
-        read: dict[Role, tuple[float, float]] = {}
         for e in self.engines.values():
             self.links[e.rack] = max(self.links.get(e.rack, 0.0), e.link * self.faded(e.linked))
-            if e.on and e.read_time:
-                tokens, time = read.get(e.role, (0.0, 0.0))
-                read[e.role] = tokens + e.read_tokens, time + e.read_time
-        self.averages = {role: tokens / time for role, (tokens, time) in read.items()}
         writers = self.pool(Role.MIXED) + self.pool(Role.WRITER)
-        self.blind = self.terms.fronts > 1 and sum(len(e.streams) for e in writers) < len(writers)
+        self.carried = sum(len(e.streams) for e in writers) / max(1, len(writers))
+        self.blind = self.terms.fronts > 1 and self.carried < 1
         self.borne = sum(e.tokens for e in writers) / max(1, sum(e.memory or 1 for e in writers))
-        self.roomy = [e for e in writers if self.load(e) < DISPATCH]
+        able: dict[int, int] = {}
+        for e in writers:
+            able[e.rack] = able.get(e.rack, 0) + (self.load(e) < DISPATCH)
+        reads: dict[int, int] = {}
+        for e in self.pool(Role.READER):
+            reads[e.rack] = reads.get(e.rack, 0) + 1
+        usual = sum(able.values()) / max(1, sum(reads.values()))
+        self.balance = {r: able.get(r, 0) / n / usual for r, n in reads.items()} if usual else {}
 
     def price(self, e: Engine, state: Engine) -> float:
         away = self.terms.zone_price * (e.zone != self.terms.zone)
@@ -492,7 +541,7 @@
         # A shot given up tells of the link only where its writer has answered others meanwhile.
         alive = out.ending is Ending.OVERDUE and e.begun > self.now - out.took
         if state and state.rack != e.rack and (alive or out.ending is Ending.BEGUN):
-            extra = max(0.0, out.took - e.wait)
+            extra = max(0.0, out.took - e.wait.time)
             usual = state.link * self.faded(state.linked)
             state.link = usual + (extra - usual) / 3
             state.linked = self.now
@@ -502,26 +551,44 @@
             e.strikes = e.shunned = 0
             if tokens:
                 if out.ending is Ending.READ:
+                    self.found(q, e, out.kept)
                     queue += max(1, q.prompt - out.kept) - tokens
-                e.read_tokens = e.read_tokens * RATE_KEEPS + max(1, queue)
-                e.read_time = e.read_time * RATE_KEEPS + max(1, out.took)
-                e.heard = self.now
+                self.read(e, queue, out.took)
                 self.keep(e, q)
             elif state and state.rack == e.rack:
-                e.wait += (out.took - e.wait) / 4
-                e.waited = self.now
+                self.learn(e.wait, self.waits[e.role], out.took)
         elif out.ending in (Ending.FULL, Ending.STATELESS, Ending.VOID, Ending.RECALLED):
             if out.ending is Ending.FULL:
                 if e.role is not Role.READER and not e.cap:
                     e.cap = max(e.tokens + int(self.others(e)), e.memory // 2)
                 e.shunned = max(e.shunned, self.now + BACKOFF)
         else:
-            e.shunned = self.now + min(LONGEST_BACKOFF, BACKOFF << min(e.strikes, 10))
+            late = out.ending is Ending.OVERDUE
+            if late and tokens:  # else only the lucky would tell how long one takes
+                self.learn(e.lag, self.lags[e.role], out.took)
+            elif late and state and state.rack == e.rack:
+                self.learn(e.wait, self.waits[e.role], out.took)
+            if not late or e.strikes:  # one shot overdue may be a jam, which shunning would only move
+                e.shunned = self.now + min(LONGEST_BACKOFF, BACKOFF << min(e.strikes, 10))
             e.strikes += 1
         e.unread -= tokens
         if out.ending is not Ending.BEGUN:
             e.tokens -= e.streams.pop(q.index, 0)
 
+    def found(self, q: Query, e: Engine, kept: int) -> None:
+        row = self.tariffs[q.tariff or 0]
+        if e.id in q.homes and q.beginning_length:
+            self.trust += (min(1.0, kept / q.beginning_length) - self.trust) / 16
+        if q.homes and e.id == q.homes[0]:
+            row.kept += (min(1.0, kept / max(1, q.prompt)) - row.kept) / 16
+
+    def read(self, e: Engine, tokens: int, took: int) -> None:
+        """A rate is the best seen of late, since waits unseen only slow a read; what is over it is lag."""
+        seen = max(1, tokens) / max(1, took)
+        rate = self.rates[e.role]
+        self.rates[e.role] = rate = max(seen, rate + (seen - rate) / 16, 0.01)
+        self.learn(e.lag, self.lags[e.role], max(0.0, took - tokens / rate))
+
     def streamed(self, q: Query, e: Engine, out: Outcome) -> None:
         e.report, e.reported = (out.report, self.now) if out.report else (e.report, e.reported)
         e.tokens -= e.streams.pop(q.index, 0)
--- a/runspool/front/door.py
+++ b/runspool/front/door.py
@@ -3,6 +3,14 @@
 from __future__ import annotations
 
 
+from zlib import crc32
+
+
+def mark(name: str) -> int:
+    """A number that every front draws alike from a name."""
+    return crc32(name.encode())
+
+
 class Door:
     """Hands out an index a name; with a bound, the name unseen for longest is forgotten first."""
 
--- a/runspool/simhost/host.py
+++ b/runspool/simhost/host.py
@@ -7,7 +7,7 @@
 
 from runspool.decisions.interface import Ending, Listed, Outcome, Query, Roster
 from runspool.front import Desk
-from runspool.front.door import Door
+from runspool.front.door import Door, mark
 from runspool.simhost.wire import ENDINGS, STATES, UNIT_US, Line, Malformed, Settings
 
 SESSIONS_KNOWN = 200_000  # what one front remembers of names before it forgets the oldest
@@ -85,6 +85,8 @@
                 budget=line.time("time-budget-us"),
                 resent=line.flag("resent"),
                 again=line.flag("again"),
+                session_mark=mark(session or ""),
+                beginning_mark=mark(beginning or ""),
             ),
         )
 
@@ -131,6 +133,7 @@
             rack=entry.whole("pod", -1),
             started=entry.time("started-at-us", 0),
             state=entry.choice("lifecycle", STATES),
+            mark=mark(name),
         )
 
 
