--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -356,7 +356,7 @@
     def turn(self, e: Engine, mark: int) -> float:
         """The place of a reader in the order all fronts draw alike for a text, by what its rack can write."""
         drawn = (e.mark * (2 * mark + 1) & MARKS) + 1
-        return -log(drawn / (MARKS + 2)) / max(0.1, min(READER_ROOM, self.balance.get(e.rack, 1.0)))
+        return -log(drawn / (MARKS + 2)) / max(0.5, min(READER_ROOM, self.balance.get(e.rack, 1.0)))
 
     def lag(self, e: Engine) -> float:
         """What other fronts' reads, or slowness, cost there; an unheard engine counts as its peers."""
