Links: pooled, timed against the usual wait; rack balance follows them; cross-zone moves weigh 2.5

Cause: racks with 4 or 5 readers and one writer sent their states over zones until the link jammed, and each fetch given up was sent again.

--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -51,11 +51,13 @@
 PRICE_WAIT = 4.0  # due times of waiting that a full gain's price of distance counts for
 PRICE_LOAD = 12.0  # shares of load that it counts for
 WAIT_LOAD = SECOND  # wait at a writer or for a rack's link that counts as a full load
+ZONE_LINK = 2.5  # times a move to another zone weighs beside one to another rack
 KEPT_TEXTS = 3000
 READ_WEIGHT = 3  # times a read's own time that its tokens count for in the pick
 HOMES = 3.0  # readers' fair parts that a popular beginning is spread over
 MARKS = 0xFFFFFFFF
-READER_ROOM = 1.4  # times its usual part that a reader takes where its rack has writers to spare
+READER_ROOM = 2.0  # times its usual part, or the inverse, that a reader takes by its rack's writers
+LINK_JAM = 500 * MILLI  # what leaving a rack adds when reads should go by the racks' writers in full
 EVIDENCE = 4  # own streams that weigh as much, of what others have at an engine, as the fleet's mean
 
 
@@ -115,6 +117,7 @@
         self.subscribed = False
         self.surveyed = -1
         self.links: defaultdict[int, Known] = defaultdict(Known)  # rack: what leaving it adds to a wait
+        self.leaving = Known()  # what is usual with any rack
         self.rates = dict.fromkeys(Role, FIRST_RATE)  # read rates
         self.lags = {role: Known() for role in Role}  # what is usual with engines of a role
         self.waits = {role: Known() for role in Role}
@@ -356,7 +359,7 @@
     def turn(self, e: Engine, mark: int) -> float:
         """The place of a reader in the order all fronts draw alike for a text, by what its rack can write."""
         drawn = (e.mark * (2 * mark + 1) & MARKS) + 1
-        return -log(drawn / (MARKS + 2)) / max(0.5, min(READER_ROOM, self.balance.get(e.rack, 1.0)))
+        return -log(drawn / (MARKS + 2)) / self.balance.get(e.rack, 1.0)
 
     def lag(self, e: Engine) -> float:
         """What other fronts' reads, or slowness, cost there; an unheard engine counts as its peers."""
@@ -411,7 +414,7 @@
 
     def link(self, rack: int) -> float:
         """What leaving a reader's rack adds to the wait, as timed of late."""
-        return self.links[rack].time * self.faded(self.links[rack].heard)
+        return self.expected(self.links[rack], self.leaving)
 
     def survey(self) -> None:
         """Figures over all engines, once a moment: a fleet times a burst would cost too much CPU."""
@@ -424,13 +427,16 @@
         able = Counter(e.rack for e in writers if self.load(e) < DISPATCH)
         reads = Counter(e.rack for e in self.pool(Role.READER))
         usual = max(1, able.total()) / max(1, reads.total())
-        self.balance = {rack: able[rack] / count / usual for rack, count in reads.items()}
+        jam = min(1.0, self.leaving.time * self.faded(self.leaving.heard) / LINK_JAM)
+        self.balance = {rack: min(max(able[rack] / count / usual, 1 / READER_ROOM), READER_ROOM) ** jam
+                        for rack, count in reads.items()}
 
     def far(self, e: Engine, state: Engine) -> float:
         price = self.terms.zone_price * (e.zone != self.terms.zone)
         if e.rack == state.rack:
             return PRICE_LOAD * price
-        return PRICE_LOAD * (price + self.terms.far_price) + self.link(state.rack) / WAIT_LOAD
+        times = 1.0 if e.zone == state.zone else ZONE_LINK  # it holds the link for so much longer
+        return PRICE_LOAD * (price + self.terms.far_price * times) + self.link(state.rack) / WAIT_LOAD
 
     def warmth(self, e: Engine) -> float:
         if not e.started or self.now >= e.started + self.terms.cold_time:
@@ -482,9 +488,10 @@
         if out.ending is Ending.BEGUN:
             e.begun = self.now
         # A shot given up tells of the link only where its writer has answered others meanwhile.
-        alive = out.ending is Ending.OVERDUE and e.begun > self.now - out.took
+        alive = out.ending is Ending.OVERDUE and (e.begun > self.now - out.took or self.carried < 1)
         if state and state.rack != e.rack and (alive or out.ending is Ending.BEGUN):
-            self.learn(self.links[state.rack], Known(), max(0.0, out.took - e.wait.time))
+            usual = self.expected(e.wait, self.waits[e.role])
+            self.learn(self.links[state.rack], self.leaving, max(0.0, out.took - usual))
         e.waiting.pop(q.index, None)
         _, tokens, queue = e.reads.pop(q.index, (0, 0, 0))
         if out.ending in (Ending.READ, Ending.BEGUN, Ending.SUCCEEDED):
