--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -164,7 +164,8 @@
             if engine and not state:
                 writers = self.writers()
                 writing = min(map(self.wait, writers), default=0)
-                if not shots and self.now + self.predicted(engine, q) + writing > latest:
+                # Patience differs by chance, or all fronts would dismiss, and admit, everything at one time.
+                if not shots and self.now + (self.predicted(engine, q) + writing) * (0.5 + q.luck) > latest:
                     break
                 # States read ahead of full writers only wait, or are given up and read again.
                 if self.queue(engine) > line or min((self.strain(e, q) for e in writers), default=0.0) > 1:
