--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -41,7 +41,7 @@
 MARGIN = 15 * MILLI  # kept before the hard limit and before a held state must be let go
 LINE = 0.2  # of the shortest due time: behind a longer queue the hurried are late on the patient's account
 OVER_SHARE_LINE = 0.1
-PATIENCE = 0.4  # of the time to the due time: a first token foreseen later is not waited for
+PATIENCE = 0.28  # of the time to the due time: a first token foreseen later is not waited for
 SPILL_READ = 0.25  # part of an answer's time that a read beside streams may take
 SHOT_PART = 0.8  # of the time left, for a shot after which another may follow
 LEAST_CAP = 300 * MILLI
@@ -56,7 +56,8 @@
 READ_WEIGHT = 3  # times a read's own time that its tokens count for in the pick
 HOMES = 3.0  # readers' fair parts that a popular beginning is spread over
 MARKS = 0xFFFFFFFF
-READER_ROOM = 2.0  # times its usual part, or the inverse, that a reader takes by its rack's writers
+READER_ROOM = 1.6  # times its usual part that a reader takes where its rack has writers to spare
+LEAST_PART = 0.2  # of it, where its rack has none
 LINK_JAM = 500 * MILLI  # what leaving a rack adds when reads should go by the racks' writers in full
 EVIDENCE = 4  # own streams that weigh as much, of what others have at an engine, as the fleet's mean
 
@@ -372,7 +373,8 @@
 
     def learn(self, own: Known, peers: Known, time: float) -> None:
         usual, before = peers.time * self.faded(peers.heard), self.expected(own, peers)
-        peers.time, peers.heard = usual + (time - usual) / 8, self.now
+        # One sample counts so far only: a few engines that hang must not make all look slow.
+        peers.time, peers.heard = usual + (min(time, 2 * usual + LEAST_CAP) - usual) / 8, self.now
         own.time, own.heard = before + (time - before) / 4, self.now
 
     def faded(self, since: int, half: int = FADES) -> float:
@@ -429,7 +431,7 @@
         reads = Counter(e.rack for e in self.pool(Role.READER))
         usual = max(1, able.total()) / max(1, reads.total())
         jam = min(1.0, self.leaving.time * self.faded(self.leaving.heard) / LINK_JAM)
-        self.balance = {rack: min(max(able[rack] / count / usual, 1 / READER_ROOM), READER_ROOM) ** jam
+        self.balance = {rack: min(max(able[rack] / count / usual, LEAST_PART), READER_ROOM) ** jam
                         for rack, count in reads.items()}
 
     def far(self, e: Engine, state: Engine) -> float:
