--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -58,7 +58,7 @@
 MARKS = 0xFFFFFFFF
 READER_ROOM = 1.6  # times its usual part that a reader takes where its rack has writers to spare
 LEAST_PART = 0.2  # of it, where its rack has none
-LINK_JAM = 500 * MILLI  # what leaving a rack adds when reads should go by the racks' writers in full
+LINK_JAM = 300 * MILLI  # beside it and the readers' lag, what leaving a rack adds weighs in the balance
 EVIDENCE = 4  # own streams that weigh as much, of what others have at an engine, as the fleet's mean
 
 
@@ -430,7 +430,8 @@
         able = Counter(e.rack for e in writers if self.load(e) < DISPATCH)
         reads = Counter(e.rack for e in self.pool(Role.READER))
         usual = max(1, able.total()) / max(1, reads.total())
-        jam = min(1.0, self.leaving.time * self.faded(self.leaving.heard) / LINK_JAM)
+        move, lag = (k.time * self.faded(k.heard) for k in (self.leaving, self.lags[Role.READER]))
+        jam = 1.5 * move / (move + lag + LINK_JAM)
         self.balance = {rack: min(max(able[rack] / count / usual, LEAST_PART), READER_ROOM) ** jam
                         for rack, count in reads.items()}
 
