--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -261,7 +261,7 @@
         able = self.pool(Role.READER) if mixed or self.pool(Role.WRITER) else []
         able += [e for e in mixed if not self.carries(e)]
         best = self.soonest(q, self.usable(q, able, failed, ran))
-        if best and self.queue(best) <= line:
+        if best and self.queue(best) + self.lag(best) <= 2 * line:
             return best
         # A read stops the streams beside it: only one short against an answer may join them.
         able += [e for e in mixed if self.carries(e) and self.load(e, q) < DISPATCH
