--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -41,7 +41,8 @@
 MARGIN = 15 * MILLI  # kept before the hard limit and before a held state must be let go
 LINE = 0.2  # of the shortest due time: behind a longer queue the hurried are late on the patient's account
 OVER_SHARE_LINE = 0.1
-PATIENCE = 0.28  # of the time to the due time: a first token foreseen later is not waited for
+PATIENCE = 0.5  # of the time to the due time: a first token foreseen later is not waited for
+BLIND_PATIENCE = 0.28  # the same where no own streams tell anything of the engines
 SPILL_READ = 0.25  # part of an answer's time that a read beside streams may take
 SHOT_PART = 0.8  # of the time left, for a shot after which another may follow
 LEAST_CAP = 300 * MILLI
@@ -87,7 +88,6 @@
     tokens: int = 0
     lag: Known = field(default_factory=Known)  # a read's time beyond its tokens and those known ahead
     wait: Known = field(default_factory=Known)  # from a send for an answer to its first token
-    begun: int = 0  # when an answer last began
     cap: int = 0
     kept: dict[int, int] = field(default_factory=dict)
     report: Report | None = None
@@ -140,7 +140,9 @@
         due = min(limit, self.born(q) + row.terms.due + row.terms.due_per_1000 * q.prompt // 1000)
         late = due < self.now + LEAST_CAP
         due = limit if late else due
-        latest = self.now + int((due - self.now) * PATIENCE)
+        self.survey()
+        seen = self.carried / (EVIDENCE + self.carried)  # a front that sees little of the queues hopes for less
+        latest = self.now + int((due - self.now) * (BLIND_PATIENCE + (PATIENCE - BLIND_PATIENCE) * seen))
         least = min(t.terms.due for t in self.tariffs)
         over = self.over_share(q) or late
         line = int(least * (OVER_SHARE_LINE if over else LINE))
@@ -164,9 +166,9 @@
                       else self.pick_reader(q, failed, ran, line))
             if engine and not state:
                 writers = self.writers()
-                writing = min(map(self.wait, writers), default=0)
+                wait = self.predicted(engine, q) + min(map(self.wait, writers), default=0)
                 # Patience differs by chance, or all fronts would dismiss, and admit, everything at one time.
-                if not shots and self.now + (self.predicted(engine, q) + writing) * (0.5 + q.luck) > latest:
+                if not shots and self.now + wait * (0.5 + q.luck) > latest:
                     break
                 # States read ahead of full writers only wait, or are given up and read again.
                 if self.queue(engine) > line or min((self.strain(e, q) for e in writers), default=0.0) > 1:
@@ -210,12 +212,9 @@
         self.room = [other for other in self.room if other != place]
         if state:
             yield Release()
-        if q.over:
-            return
-        if ran and (exclusive or (ticketed and row.terms.group is not Group.ALL)):
-            yield Scrap()
-        else:
-            yield Dismiss(self.hold_off(q))
+        if not q.over:
+            harmful = ran and (exclusive or (ticketed and row.terms.group is not Group.ALL))
+            yield Scrap() if harmful else Dismiss(self.hold_off(q))
 
     def watch(self) -> Generator[Ask, Any, None]:
         while True:
@@ -234,8 +233,7 @@
         for line in roster.engines:
             e = self.engines.get(line.engine)
             if e is None or e.started != line.started:
-                known = 0 <= line.kind < len(self.terms.kinds)
-                kind = self.terms.kinds[line.kind] if known else KindTerms(Role.MIXED, 0)
+                kind = (self.terms.kinds[line.kind:line.kind + 1] or [KindTerms(Role.MIXED, 0)])[0]
                 e = Engine(line.engine, line.mark, kind.role, line.zone, line.rack, kind.memory, line.started)
                 self.engines[line.engine] = e
             e.on = line.state == "on"
@@ -270,7 +268,7 @@
         return self.soonest(q, self.usable(q, able, failed, ran))
 
     def soonest(self, q: Query, able: list[Engine]) -> Engine | None:
-        # What is read again delays all that come after, here and at the other fronts.
+        # What is read again delays all that come after.
         return min(able, key=lambda e: (self.predicted(e, q) + self.distance(e, q)
                                         + (READ_WEIGHT - 1) * self.to_read(e, q) / self.pace(e),
                                         e is not self.reserved_reader, self.draw()), default=None)
@@ -408,7 +406,6 @@
         return q.prompt + int(self.row(q).out)
 
     def distance(self, e: Engine, q: Query) -> float:
-        """A read away from its writers pays for the move of its state, one on a mixed server never does."""
         due = min(t.terms.due for t in self.tariffs)  # those in the most hurry wait behind this one
         self.survey()
         leaves = max(0.0, 1 - self.balance.get(e.rack, 1.0)) if e.role is Role.READER else 0.0
@@ -489,11 +486,7 @@
 
     def ended(self, q: Query, e: Engine, out: Outcome, state: Engine | None) -> None:
         e.report, e.reported = (out.report, self.now) if out.report else (e.report, e.reported)
-        if out.ending is Ending.BEGUN:
-            e.begun = self.now
-        # A shot given up tells of the link only where its writer has answered others meanwhile.
-        alive = out.ending is Ending.OVERDUE and (e.begun > self.now - out.took or self.carried < 1)
-        if state and state.rack != e.rack and (alive or out.ending is Ending.BEGUN):
+        if state and state.rack != e.rack and out.ending in (Ending.BEGUN, Ending.OVERDUE):
             usual = self.expected(e.wait, self.waits[e.role])
             self.learn(self.links[state.rack], self.leaving, max(0.0, out.took - usual))
         e.waiting.pop(q.index, None)
