--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -21,7 +21,7 @@
 from dataclasses import dataclass, field
 from math import exp2, log
 from random import Random
-from typing import Any
+from typing import Any, cast
 
 from runspool.decisions.interface import (
     NEVER_RAN, Ask, Dismiss, Effect, Ending, Group, HouseTerms, KindTerms, Listen, Move, Outcome, Query,
@@ -112,13 +112,11 @@
         self.now = 0
         self.engines: dict[int, Engine] = {}
         self.tariffs = [Tariff(row) for row in terms.tariffs]
-        self.arrivals = [(0.0, 0)] * len(terms.tenants)
-        self.reserved_reader: Engine | None = None
-        self.reserved_writer: Engine | None = None
-        self.subscribed = False
-        self.surveyed = -1
+        self.arrivals = [(0.0, 0)] * len(terms.tenants)  # faded count, and when
+        self.reserved_reader = self.reserved_writer = cast(Engine | None, None)
+        self.subscribed, self.surveyed = False, -1
         self.links: defaultdict[int, Known] = defaultdict(Known)  # rack: what leaving it adds to a wait
-        self.leaving = Known()  # what is usual with any rack
+        self.leaving = Known()
         self.rates = dict.fromkeys(Role, FIRST_RATE)  # read rates
         self.lags = {role: Known() for role in Role}  # what is usual with engines of a role
         self.waits = {role: Known() for role in Role}
@@ -130,8 +128,7 @@
 
 
     def query(self, q: Query) -> Generator[Ask, Any, None]:
-        largest = max((e.memory for e in self.engines.values() if e.on), default=0)
-        if q.tariff is None or (0 < largest < q.prompt):
+        if q.tariff is None or 0 < max([e.memory for e in self.engines.values() if e.on] + [0]) < q.prompt:
             yield Scrap()  # no later try would go better
             return
         q.luck, q.homes, row = self.draw(), self.homes(q), self.row(q)
@@ -141,11 +138,10 @@
         late = due < self.now + LEAST_CAP
         due = limit if late else due
         self.survey()
-        seen = self.carried / (EVIDENCE + self.carried)  # a front that sees little of the queues hopes for less
+        seen = self.carried / (EVIDENCE + self.carried)  # who sees little of the queues hopes for less
         latest = self.now + int((due - self.now) * (BLIND_PATIENCE + (PATIENCE - BLIND_PATIENCE) * seen))
-        least = min(t.terms.due for t in self.tariffs)
         over = self.over_share(q) or late
-        line = int(least * (OVER_SHARE_LINE if over else LINE))
+        line = int(min(t.terms.due for t in self.tariffs) * (OVER_SHARE_LINE if over else LINE))
         # Gain brings a query forward; time spent waiting does too, so that no tariff starves.
         place = (over, self.now + int((due - self.now) / max(row.terms.gain, 0.1)), q.index)
         state: Engine | None = None
@@ -187,8 +183,8 @@
             self.room = [other for other in self.room if other != place]
             shots += 1
             effect = engine.role is not Role.READER
-            moved = int(self.link(state.rack)) if state and state.rack != engine.rack else 0
-            wait = self.wait(engine) + moved if state else self.predicted(engine, q)
+            wait = self.wait(engine) if state else self.predicted(engine, q)
+            wait += int(self.link(state.rack)) if state and state.rack != engine.rack else 0
             sent, cap = self.now, 0
             if shots < self.terms.max_shots and (not effect or row.terms.effect is Effect.RERUNNABLE):
                 # Work given up may go on there: what is merely slow, as far as foreseen, is left alone.
@@ -233,7 +229,7 @@
         for line in roster.engines:
             e = self.engines.get(line.engine)
             if e is None or e.started != line.started:
-                kind = (self.terms.kinds[line.kind:line.kind + 1] or [KindTerms(Role.MIXED, 0)])[0]
+                kind = [*self.terms.kinds[line.kind:line.kind + 1], KindTerms(Role.MIXED, 0)][0]
                 e = Engine(line.engine, line.mark, kind.role, line.zone, line.rack, kind.memory, line.started)
                 self.engines[line.engine] = e
             e.on = line.state == "on"
@@ -251,8 +247,6 @@
         able = [e for e in among if e is not other] or among
         return min(able, key=lambda e: (e.unread + e.tokens, self.draw()), default=None)
 
-    # The two picks of the design.
-
     def pick_reader(self, q: Query, failed: list[int], ran: Engine | None, line: int) -> Engine | None:
         mixed, row = self.pool(Role.MIXED), self.row(q)
         # A state that nobody can take would only be read to be let go.
@@ -487,8 +481,8 @@
     def ended(self, q: Query, e: Engine, out: Outcome, state: Engine | None) -> None:
         e.report, e.reported = (out.report, self.now) if out.report else (e.report, e.reported)
         if state and state.rack != e.rack and out.ending in (Ending.BEGUN, Ending.OVERDUE):
-            usual = self.expected(e.wait, self.waits[e.role])
-            self.learn(self.links[state.rack], self.leaving, max(0.0, out.took - usual))
+            extra = out.took - self.expected(e.wait, self.waits[e.role])
+            self.learn(self.links[state.rack], self.leaving, max(0.0, extra))
         e.waiting.pop(q.index, None)
         _, tokens, queue = e.reads.pop(q.index, (0, 0, 0))
         if out.ending in (Ending.READ, Ending.BEGUN, Ending.SUCCEEDED):
@@ -516,9 +510,9 @@
                 self.learn(e.lag, self.lags[e.role], out.took)
             elif late and state and state.rack == e.rack:
                 self.learn(e.wait, self.waits[e.role], out.took)
-            if not late or e.strikes:  # one shot overdue may be a jam, which shunning would only move
-                e.shunned = self.now + min(LONGEST_BACKOFF, BACKOFF << min(e.strikes, 10))
-            e.strikes += 1
+            if not late or e.strikes:
+                self.distrust(e)
+            e.strikes = max(e.strikes, 1)  # one shot overdue may be a jam, which shunning would only move
         e.unread -= tokens
         if out.ending is not Ending.BEGUN:
             e.tokens -= e.streams.pop(q.index, 0)
@@ -531,8 +525,10 @@
             tokens = q.likely_out or out.took / max(1, row.terms.pace)
             row.out = tokens if not row.out else row.out + (tokens - row.out) / 16
         elif out.ending is Ending.SEVERED:
-            e.shunned = self.now + min(LONGEST_BACKOFF, BACKOFF << min(e.strikes, 10))
-            e.strikes += 1
+            self.distrust(e)
+
+    def distrust(self, e: Engine) -> None:
+        e.shunned, e.strikes = self.now + min(LONGEST_BACKOFF, BACKOFF << min(e.strikes, 10)), e.strikes + 1
 
     def keep(self, e: Engine, q: Query) -> None:
         for key, parity, length in ((q.session, 0, q.prompt), (q.beginning, 1, q.beginning_length)):
