--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -35,6 +35,7 @@
 FRESH = 2 * SECOND  # a report older than this says nothing of now
 FADES = 12 * SECOND  # half-life of what an unheard engine has taught
 FIRST_RATE = 1.0  # tokens a tenth of a millisecond, before any read has been timed
+SHORT_READ = 1000  # tokens of a read that tells half as much of the rate as a long one
 BACKOFF = 200 * MILLI
 LONGEST_BACKOFF = 6 * SECOND
 RETRY = 25 * MILLI  # between looks for an engine while none can be had
@@ -42,8 +43,9 @@
 LINE = 0.2  # of the shortest due time: behind a longer queue the hurried are late on the patient's account
 OVER_SHARE_LINE = 0.1
 PATIENCE = 0.5  # of the time to the due time: a first token foreseen later is not waited for
-BLIND_PATIENCE = 0.28  # the same where no own streams tell anything of the engines
+BLIND_PATIENCE = 0.25  # the same where no own streams tell anything of the engines
 SPILL_READ = 0.25  # part of an answer's time that a read beside streams may take
+OWN_READS = 2.5  # times a read takes the time of its own that must be left for it
 SHOT_PART = 0.8  # of the time left, for a shot after which another may follow
 LEAST_CAP = 300 * MILLI
 SLOW = 4  # times the predicted wait before a shot counts as hung
@@ -139,7 +141,8 @@
         due = limit if late else due
         self.survey()
         seen = self.carried / (EVIDENCE + self.carried)  # who sees little of the queues hopes for less
-        latest = self.now + int((due - self.now) * (BLIND_PATIENCE + (PATIENCE - BLIND_PATIENCE) * seen))
+        patience = BLIND_PATIENCE + (PATIENCE - BLIND_PATIENCE) * seen
+        latest = self.now + int((due - self.now) * patience)
         over = self.over_share(q) or late
         line = int(min(t.terms.due for t in self.tariffs) * (OVER_SHARE_LINE if over else LINE))
         # Gain brings a query forward; time spent waiting does too, so that no tariff starves.
@@ -162,9 +165,10 @@
                       else self.pick_reader(q, failed, ran, line))
             if engine and not state:
                 writers = self.writers()
-                wait = self.predicted(engine, q) + min(map(self.wait, writers), default=0)
+                own = self.to_read(engine, q) / self.pace(engine)
+                wait = self.predicted(engine, q) - own + min(map(self.wait, writers), default=0)
                 # Patience differs by chance, or all fronts would dismiss, and admit, everything at one time.
-                if not shots and self.now + wait * (0.5 + q.luck) > latest:
+                if not shots and wait * (0.5 + q.luck) > (due - self.now - OWN_READS * own) * patience:
                     break
                 # States read ahead of full writers only wait, or are given up and read again.
                 if self.queue(engine) > line or min((self.strain(e, q) for e in writers), default=0.0) > 1:
@@ -494,8 +498,9 @@
                         row.kept += (min(1.0, out.kept / max(1, q.prompt)) - row.kept) / 16
                     queue += max(1, q.prompt - out.kept) - tokens
                 # A rate is the best seen of late, as unseen waits only slow a read; what is over it is lag.
-                rate, seen = self.rates[e.role], max(1, queue) / max(1, out.took)
-                self.rates[e.role] = rate = max(seen, rate + (seen - rate) / 16, 0.01)
+                queue = max(1, queue)
+                rate, seen = self.rates[e.role], queue / max(1, out.took)
+                self.rates[e.role] = rate = max(seen, rate + (seen - rate) * queue / (queue + SHORT_READ) / 16)
                 self.learn(e.lag, self.lags[e.role], max(0.0, out.took - queue / rate))
                 self.keep(e, q)
             elif state and state.rack == e.rack:
