--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -28,24 +28,23 @@
     Release, Report, Role, Roster, Scrap, Shot, Subscribe, TariffTerms, Wait,
 )
 
-MILLI = 10
-SECOND = 1000 * MILLI
+MILLI, SECOND = 10, 10_000
 DISPATCH = 0.8  # fraction of a mixed server's cap up to which streams are packed on it
 CEILING = 1.2  # fraction of a writer's cap above which a stream is stopped
 FRESH = 2 * SECOND  # a report older than this says nothing of now
 FADES = 12 * SECOND  # half-life of what an unheard engine has taught
-FIRST_RATE = 2.0  # tokens a tenth of a millisecond, before any read has been timed
-SHORT_READ = 1000  # tokens of a read that tells half as much of the rate as a long one
+FIRST_RATE = 1.0  # tokens a tenth of a millisecond, before any read has been timed
+LEAST_WAIT = 150 * MILLI  # a shorter one dismisses nothing
 BACKOFF = 200 * MILLI
 LONGEST_BACKOFF = 6 * SECOND
 RETRY = 25 * MILLI  # between looks for an engine while none can be had
 MARGIN = 15 * MILLI  # kept before the hard limit and before a held state must be let go
 LINE = 0.2  # of the shortest due time: behind a longer queue the hurried are late on the patient's account
 OVER_SHARE_LINE = 0.1
-PATIENCE = 0.5  # of the time to the due time: a first token foreseen later is not waited for
-BLIND_PATIENCE = 0.2  # the same where no own streams tell anything of the engines
+PATIENCE = 0.6  # of the time to the due time: a first token foreseen later is not waited for
+BLIND_PATIENCE = 0.25  # the same where no own streams tell anything of the engines
 SPILL_READ = 0.25  # part of an answer's time that a read beside streams may take
-OWN_READS = 3.0  # times a read takes the time of its own that must be left for it
+OWN_READS = 2.5  # times a read takes the time of its own that must be left for it
 SHOT_PART = 0.8  # of the time left, for a shot after which another may follow
 LEAST_CAP = 300 * MILLI
 SLOW = 4  # times the predicted wait before a shot counts as hung
@@ -148,10 +147,8 @@
         # Gain brings a query forward; time spent waiting does too, so that no tariff starves.
         place = (over, self.now + int((due - self.now) / max(row.terms.gain, 0.1)), q.index)
         state: Engine | None = None
-        held = 0  # since when the state waits
-        shots = 0
+        held = shots = ran_at = 0  # held: since when the state waits
         ran: Engine | None = None  # the first engine whose shot may have run
-        ran_at = 0
         failed: list[int] = []
         while not q.over and shots < self.terms.max_shots and self.now < limit:
             if ran and (exclusive or (ticketed and self.now >= ran_at + row.terms.window)):
@@ -168,7 +165,8 @@
                 own = self.to_read(engine, q) / self.pace(engine)
                 wait = self.predicted(engine, q) - own + min(map(self.wait, writers), default=0)
                 # Patience differs by chance, or all fronts would dismiss, and admit, everything at one time.
-                if not shots and wait * (0.5 + q.luck) > (due - self.now - OWN_READS * own) * patience:
+                spare = max(LEAST_WAIT, (due - self.now - OWN_READS * own) * patience)
+                if not shots and wait * (0.5 + q.luck) > spare:
                     break
                 # States read ahead of full writers only wait, or are given up and read again.
                 if self.queue(engine) > line or min((self.strain(e, q) for e in writers), default=0.0) > 1:
@@ -224,8 +222,7 @@
             yield Wait(self.now + SECOND)
             # One stream a second is stopped by all fronts together, as far as each can tell.
             mine = self.terms.resumes and self.draw() * self.terms.fronts < 1
-            victim = self.overload() if mine else None
-            if victim is not None:
+            if mine and (victim := self.overload()) is not None:
                 yield Move(victim)
 
     def roster(self, roster: Roster) -> None:
@@ -237,9 +234,8 @@
                 e = Engine(line.engine, line.mark, kind.role, line.zone, line.rack, kind.memory, line.started)
                 self.engines[line.engine] = e
             e.on = line.state == "on"
-        if roster.whole:
-            for e in self.engines.values():
-                e.on = e.on and e.id in named
+        for e in self.engines.values() if roster.whole else ():
+            e.on = e.on and e.id in named
         readers = self.pool(Role.READER) or self.pool(Role.MIXED)
         if self.reserved_reader not in readers:
             self.reserved_reader = self.elect(readers, None)
@@ -292,8 +288,8 @@
         worst = max(over, key=self.load, default=None)
         if worst is None or not any(self.load(e) < DISPATCH for e in self.pool(worst.role)):
             return None
-        begun = [i for i in worst.streams if i not in worst.waiting]
-        return min(begun, key=lambda i: worst.streams[i], default=None)
+        begun = (i for i in worst.streams if i not in worst.waiting)
+        return min(begun, key=worst.streams.__getitem__, default=None)
 
     def pool(self, role: Role) -> list[Engine]:
         return [e for e in self.engines.values() if e.on and e.role is role]
@@ -498,9 +494,8 @@
                         row.kept += (min(1.0, out.kept / max(1, q.prompt)) - row.kept) / 16
                     queue += max(1, q.prompt - out.kept) - tokens
                 # A rate is the best seen of late, as unseen waits only slow a read; what is over it is lag.
-                queue = max(1, queue)
-                rate, seen = self.rates[e.role], queue / max(1, out.took)
-                self.rates[e.role] = rate = max(seen, rate + (seen - rate) * queue / (queue + SHORT_READ) / 16)
+                rate, seen = self.rates[e.role], max(1, queue) / max(1, out.took)
+                self.rates[e.role] = rate = max(seen, rate + (seen - rate) / 16, 0.01)
                 self.learn(e.lag, self.lags[e.role], max(0.0, out.took - queue / rate))
                 self.keep(e, q)
             elif state and state.rack == e.rack:
