--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -139,7 +139,8 @@
         late = due < self.now + LEAST_CAP
         due = limit if late else due
         self.survey()
-        patience = BLIND_PATIENCE + (PATIENCE - BLIND_PATIENCE) * self.carried / (EVIDENCE + self.carried)
+        seen = self.carried / (EVIDENCE + self.carried)  # who sees little of the queues hopes for less
+        patience = BLIND_PATIENCE + (PATIENCE - BLIND_PATIENCE) * seen
         latest = self.now + int((due - self.now) * patience)
         over = self.over_share(q) or late
         line = int(min(t.terms.due for t in self.tariffs) * (OVER_SHARE_LINE if over else LINE))
@@ -226,8 +227,6 @@
 
     def roster(self, roster: Roster) -> None:
         named = [line.engine for line in roster.engines]
-        if not self.engines:  # against fresh fronts that jam the links of racks with readers alone
-            self.leaving = Known(LINK_JAM, self.now)
         for line in roster.engines:
             e = self.engines.get(line.engine)
             if e is None or e.started != line.started:
@@ -522,7 +521,8 @@
         e.report, e.reported = (out.report, self.now) if out.report else (e.report, e.reported)
         e.tokens -= e.streams.pop(q.index, 0)
         if out.ending is Ending.SUCCEEDED:
-            row, tokens = self.row(q), q.likely_out or out.took / max(1, self.row(q).terms.pace)
+            row = self.row(q)
+            tokens = q.likely_out or out.took / max(1, row.terms.pace)
             row.out = tokens if not row.out else row.out + (tokens - row.out) / 16
         elif out.ending is Ending.SEVERED:
             self.distrust(e)
