--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -443,9 +443,11 @@
         """Against pushing over a cold engine, all fronts together: it is offered a part of what each has.
         One draw a query, or waiting would be trying again."""
         warmth, reads = self.warmth(e), e.role is Role.READER
+        if warmth == 1.0:
+            return True  # peers counted for warm ones too made the cost grow by the square of the fleet
         peers = sum(o.on and (o.role is Role.READER) == reads for o in self.engines.values())
         part = COLD_SAFETY * self.terms.fall_multiple * warmth / max(1, peers)
-        return warmth == 1.0 or (luck + e.id * GOLDEN) % 1 < part
+        return (luck + e.id * GOLDEN) % 1 < part
 
     def born(self, q: Query) -> int:
         """Against taking a client's later try for a new query: its due time has run since the first."""
--- /dev/null
+++ b/runspool/terms/checked.py
@@ -0,0 +1,219 @@
+"""The shape that terms must have. Units stand in the field names; an unknown field is a fault."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal, Self
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from runspool.decisions.interface import (
+    Effect, Group, HouseTerms, KindTerms, Role, TariffTerms, TenantTerms,
+)
+
+TENTHS = 10  # tenths of a millisecond in one
+
+Millis = Annotated[float, Field(ge=0, le=86_400_000)]
+SomeMillis = Annotated[float, Field(gt=0, le=86_400_000)]
+Share = Annotated[float, Field(ge=0, le=1)]
+Name = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
+Count = Annotated[int, Field(ge=1, le=1_000_000)]
+Bytes = Annotated[int, Field(ge=256, le=1 << 30)]
+Port = Annotated[int, Field(ge=0, le=65535)]
+
+
+class Part(BaseModel):
+    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+
+
+class TariffPart(Part):
+    due_ms: SomeMillis
+    due_per_1000_tokens_ms: Millis
+    limit_ms: SomeMillis
+    pace_ms_per_token: Millis
+    gain: Annotated[float, Field(gt=0, le=1000)]
+    late_share: Share
+    effect: Literal["rerunnable", "ticketed", "exclusive"]
+    group: Literal["all", "zone", "rack"]
+    window_ms: Millis
+
+    @model_validator(mode="after")
+    def due_before_limit(self) -> Self:
+        if self.due_ms > self.limit_ms:
+            raise ValueError(f"due_ms {self.due_ms:g} is over limit_ms {self.limit_ms:g}")
+        return self
+
+
+class TenantPart(Part):
+    queries_per_second: Annotated[float, Field(gt=0)]
+
+
+class KindPart(Part):
+    role: Literal["reader", "writer", "mixed"]
+    memory_tokens: Annotated[int, Field(ge=0)]
+
+
+class RulesPart(Part):
+    answer_slack_ms: Millis
+    drain_grace_ms: Millis
+    cold_from: Annotated[float, Field(gt=0, le=1)]
+    cold_ms: Millis
+    fall_multiple: Annotated[float, Field(gt=0)]
+    fall_ms: SomeMillis
+    release_within_ms: Annotated[float, Field(ge=50, le=60_000)]
+
+
+class LimitsPart(Part):
+    max_shots: Annotated[int, Field(ge=1, le=64)]
+    second_copies: Literal[False]  # the module sends none; a house that wants them would not get them
+    longest_wait_told_ms: Millis
+    writers_read: bool
+
+
+class PricesPart(Part):
+    far: Share
+    zone: Share
+    late: Share
+    waste: Share
+
+
+class House(Part):
+    """What every front of a house shares."""
+
+    fronts: Count
+    zones: Annotated[list[Name], Field(min_length=1)]
+    tariffs: Annotated[dict[Name, TariffPart], Field(min_length=1)]
+    tenants: dict[Name, TenantPart]
+    kinds: Annotated[dict[Name, KindPart], Field(min_length=1)]
+    rules: RulesPart
+    limits: LimitsPart
+    prices: PricesPart
+    over_share: Share
+
+    @model_validator(mode="after")
+    def zones_differ(self) -> Self:
+        if len(set(self.zones)) < len(self.zones):
+            raise ValueError("zones names one twice")
+        return self
+
+
+class Listening(Part):
+    host: str
+    port: Port
+
+
+class Bounds(Part):
+    """What a front bears at most; past each a clean refusal, before the query counts as taken."""
+
+    connections: Count
+    queries: Count
+    head_bytes: Bytes
+    query_bytes: Bytes
+    head_ms: SomeMillis
+    body_ms: SomeMillis
+    idle_ms: SomeMillis
+    answer_write_ms: SomeMillis
+    longest_limit_ms: SomeMillis
+    drain_ms: SomeMillis
+
+
+class EnginesTerms(Part):
+    """How a front speaks to engines."""
+
+    connect_ms: SomeMillis
+    idle_ms: SomeMillis
+    connections_each: Count
+    idle_each: Annotated[int, Field(ge=0)]
+    read_answer_bytes: Bytes
+    line_bytes: Bytes
+    source_address: str | None
+
+
+class ListTerms(Part):
+    """Where the list of engines is watched, and when it counts as lost."""
+
+    host: str
+    port: Annotated[int, Field(ge=1, le=65535)]
+    quiet_ms: SomeMillis
+    retry_ms: SomeMillis
+    line_bytes: Bytes
+
+
+class FrontTerms(Part):
+    """One front: its place, its listener, its bounds."""
+
+    name: Name
+    number: Annotated[int, Field(ge=0)]
+    zone: Name
+    seed: int
+    listen: Listening
+    default_tariff: Name | None
+    model: Name
+    bounds: Bounds
+    engines: EnginesTerms
+    list: ListTerms
+    memory_file: str | None
+    log_level: Literal["debug", "info", "warning", "error"]
+
+
+class Terms(Part):
+    """All that a front is told at its start."""
+
+    house: House
+    front: FrontTerms
+
+    @model_validator(mode="after")
+    def front_fits_house(self) -> Self:
+        faults = []
+        if self.front.zone not in self.house.zones:
+            faults.append(f"front.zone {self.front.zone!r} is none of house.zones {self.house.zones}")
+        if self.front.number >= self.house.fronts:
+            faults.append(f"front.number {self.front.number} is not under house.fronts {self.house.fronts}")
+        if self.front.default_tariff not in (None, *self.house.tariffs):
+            faults.append(f"front.default_tariff {self.front.default_tariff!r} is none of house.tariffs")
+        if faults:
+            raise ValueError("; ".join(faults))
+        return self
+
+    def house_terms(self) -> HouseTerms:
+        """The module's view: indices by order, times in tenths of a millisecond."""
+        house, rules, limits = self.house, self.house.rules, self.house.limits
+        return HouseTerms(
+            me=self.front.number,
+            fronts=house.fronts,
+            zone=house.zones.index(self.front.zone),
+            tariffs=[
+                TariffTerms(tenths(row.due_ms), tenths(row.due_per_1000_tokens_ms),
+                            tenths(row.pace_ms_per_token), row.gain, row.late_share, Effect[row.effect.upper()],
+                            Group[row.group.upper()], tenths(row.window_ms))
+                for row in house.tariffs.values()
+            ],
+            tenants=[TenantTerms(row.queries_per_second) for row in house.tenants.values()],
+            kinds=[KindTerms(Role[row.role.upper()], row.memory_tokens) for row in house.kinds.values()],
+            over_share=house.over_share,
+            answer_slack=tenths(rules.answer_slack_ms),
+            cold_from=rules.cold_from,
+            cold_time=tenths(rules.cold_ms),
+            fall_multiple=rules.fall_multiple,
+            fall_time=tenths(rules.fall_ms),
+            release_within=tenths(rules.release_within_ms),
+            max_shots=limits.max_shots,
+            second_copies=limits.second_copies,
+            may_recall=True,
+            may_probe=False,
+            may_hold=False,
+            may_say_when=True,
+            longest_wait_told=tenths(limits.longest_wait_told_ms),
+            resumes=False,  # a stopped stream cannot yet go on elsewhere, so none is stopped
+            writers_read=limits.writers_read,
+            must_ask=False,
+            ask_within=0,
+            far_price=house.prices.far,
+            zone_price=house.prices.zone,
+            late_price=house.prices.late,
+            waste_price=house.prices.waste,
+        )
+
+
+def tenths(millis: float) -> int:
+    """Whole tenths of a millisecond."""
+    return round(millis * TENTHS)
--- /dev/null
+++ b/runspool/terms/reading.py
@@ -0,0 +1,81 @@
+"""From a Jsonnet file to checked terms, with every fault at once."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import _jsonnet
+from pydantic import ValidationError
+
+from runspool.terms.checked import Terms
+
+LIBRARY = Path(__file__).parent / "library"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One thing wrong in a terms file."""
+
+    path: str
+    value: str
+    allowed: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.value} - {self.allowed}"
+
+
+class Unreadable(Exception):
+    """Terms that cannot be used; `faults` names every one of them."""
+
+    def __init__(self, source: str, faults: list[Fault]) -> None:
+        super().__init__("\n".join([f"{source}: {len(faults)} fault(s)", *(f"  {each}" for each in faults)]))
+        self.source = source
+        self.faults = faults
+
+
+def evaluate(path: Path, given: Mapping[str, str] | None = None) -> dict[str, Any]:
+    """The object that a Jsonnet file stands for; `given` are its external variables (std.extVar).
+
+    Raises Unreadable with the evaluator's own message, which names file, line and column.
+    """
+    try:
+        text = _jsonnet.evaluate_file(str(path), jpathdir=[str(LIBRARY)], ext_vars=dict(given or {}))
+    except (RuntimeError, OSError) as fault:
+        said = " ".join(str(fault).split())
+        raise Unreadable(str(path), [Fault("(template)", said, "a Jsonnet file that evaluates")]) from None
+    found = json.loads(text)
+    if not isinstance(found, dict):
+        raise Unreadable(str(path), [Fault("(top)", type(found).__name__, "an object with house and front")])
+    return found
+
+
+def terms_of(found: Mapping[str, Any], source: str = "terms") -> Terms:
+    """Checked terms from plain data; raises Unreadable with all faults."""
+    try:
+        return Terms.model_validate(found)
+    except ValidationError as fault:
+        raise Unreadable(source, [_fault(error) for error in fault.errors()]) from None
+
+
+def read_terms(path: Path, given: Mapping[str, str] | None = None) -> Terms:
+    """Evaluates and checks a terms file; raises Unreadable with all faults."""
+    return terms_of(evaluate(path, given), str(path))
+
+
+def _fault(error: Any) -> Fault:
+    path = ".".join(str(step) for step in error["loc"] if step != "[key]") or "(top)"
+    kind, value = error["type"], error.get("input")
+    if kind == "extra_forbidden":
+        return Fault(path, _short(value), "no such field")
+    if kind == "missing":
+        return Fault(path, "missing", "must be given")
+    return Fault(path, _short(value), str(error["msg"]).removeprefix("Value error, "))
+
+
+def _short(value: object) -> str:
+    text = json.dumps(value, default=str)
+    return text if len(text) <= 80 else text[:77] + "..."
--- /dev/null
+++ b/runspool/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Codecs of published protocols: bytes to types and back, without I/O and without decisions."""
