A front on sockets: intake, shots, list, timers, orderly stop

The decisions get a program around them: h11 on anyio, every query a task, every decision the module's.

--- a/runspool/cli/__init__.py
+++ b/runspool/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: thin, with exit codes that mean something."""
--- /dev/null
+++ b/runspool/cli/terms.py
@@ -0,0 +1,51 @@
+"""`runspool terms`: checks and shows what a front would be told."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from runspool.terms import Terms, Unreadable, read_terms
+
+app = typer.Typer(no_args_is_help=True, help="Check and show terms files (Jsonnet).")
+
+File = Annotated[Path, typer.Argument(help="A Jsonnet file; `import 'runspool.libsonnet'` is found.")]
+Vars = Annotated[list[str] | None, typer.Option("--var", help="NAME=VALUE for std.extVar, may be repeated.")]
+
+
+def given(pairs: list[str] | None) -> dict[str, str]:
+    """External variables from the command line; exits 2 on one without a value."""
+    found = {}
+    for pair in pairs or []:
+        name, equals, value = pair.partition("=")
+        if not equals or not name:
+            typer.echo(f"--var {pair}: NAME=VALUE is wanted", err=True)
+            raise typer.Exit(2)
+        found[name] = value
+    return found
+
+
+def read(file: Path, pairs: list[str] | None) -> Terms:
+    """Checked terms, or every fault on standard error and exit 2."""
+    try:
+        return read_terms(file, given(pairs))
+    except Unreadable as fault:
+        typer.echo(str(fault), err=True)
+        raise typer.Exit(2) from None
+
+
+@app.command(epilog="Example: runspool terms check examples/house.jsonnet   (exit 0: good, 2: faults)")
+def check(file: File, var: Vars = None) -> None:
+    """Print every fault at once: its path, its value, what is allowed."""
+    terms = read(file, var)
+    typer.echo(f"{file}: good; front {terms.front.name}, {len(terms.house.tariffs)} tariffs, "
+               f"{len(terms.house.kinds)} kinds")
+
+
+@app.command(epilog="Example: runspool terms show examples/house.jsonnet --var port=8081")
+def show(file: File, var: Vars = None) -> None:
+    """Print the checked terms as JSON."""
+    typer.echo(json.dumps(read(file, var).model_dump(), indent=2))
--- /dev/null
+++ b/runspool/engines/shots.py
@@ -0,0 +1,298 @@
+"""One shot at one engine: sends it, follows it, and says how it ended. Picks nothing, repeats nothing."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable, Mapping
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass
+from typing import Protocol
+
+import anyio
+import h11
+import msgspec
+
+from runspool.decisions.interface import Ending, Report
+from runspool.engines.connections import RECEIVED, Full, Link, Pool
+from runspool.engines.endings import ENDINGS, Mishap, of_status
+from runspool.terms import EnginesTerms
+from runspool.terms.checked import TENTHS
+from runspool.wire import engine as wire
+
+Address = tuple[str, int]
+State = dict[str, msgspec.Raw]
+LOST = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
+
+
+@dataclass(slots=True)
+class Ended:
+    """How a shot ended; `mishap` is None where it did what it was sent for."""
+
+    ending: Ending
+    mishap: Mishap | None = None
+    detail: str = ""
+    kept: int = 0
+    read: int = 0
+    made: int = 0
+    finish: str = ""
+    state: State | None = None
+    report: Report | None = None
+
+
+class Listener(Protocol):
+    """Hears a streamed answer while it comes."""
+
+    async def begun(self) -> None: ...
+    async def said(self, text: str) -> None: ...
+
+
+class _Stopped(Exception):
+    def __init__(self, mishap: Mishap, detail: str = "") -> None:
+        super().__init__(detail)
+        self.mishap, self.detail = mishap, detail
+
+
+class Caller:
+    """Carries out shots on pooled connections."""
+
+    def __init__(self, terms: EnginesTerms, now: Callable[[], int], silence_ms: float) -> None:
+        self.terms = terms
+        self.now = now
+        self.silence = silence_ms / 1000
+        self.pool = Pool(terms, now)
+
+    async def read(self, address: Address, query: State, headers: Mapping[str, str], limit: int) -> Ended:
+        """Has a prompt read; READ with the waiting state, or what else it came to. `limit` as in write().
+
+        Cancelled, the connection is closed and nothing is told.
+        """
+        deadline = anyio.current_time() + limit / (1000 * TENTHS)
+        report: Report | None = None
+        try:
+            async with self._exchange(address, wire.read_body(query), headers, limit, deadline) as link:
+                with _until(deadline, Mishap.SILENT_AFTER_LAST_BYTE):
+                    head = await self._head(link)
+                    report = wire.load_report(_header(head, wire.REPORT_HEADER))
+                    body = await self._whole(link)
+                answer = wire.answer(body)
+                if not answer.kv_transfer_params:
+                    raise _Stopped(Mishap.GARBLED, "a read without kv_transfer_params")
+        except _Stopped as stop:
+            return Ended(ENDINGS[stop.mishap], stop.mishap, stop.detail, report=report)
+        except wire.Garbled as fault:
+            return Ended(ENDINGS[Mishap.GARBLED], Mishap.GARBLED, str(fault), report=report)
+        usage = answer.usage or wire.Usage()
+        return Ended(Ending.READ, kept=usage.kept, read=usage.prompt_tokens, state=answer.kv_transfer_params,
+                     report=report)
+
+    async def write(self, address: Address, query: State, state: State | None, headers: Mapping[str, str],
+                    limit: int, most_out: int, listener: Listener) -> Ended:
+        """Has a query answered, telling `listener` as the answer comes.
+
+        `limit`, in tenths of a millisecond, holds to the first token; from then on only the bound of silence.
+        Cancelled, the connection is closed and nothing is told.
+        """
+        deadline = anyio.current_time() + limit / (1000 * TENTHS)
+        told = Ended(Ending.SUCCEEDED)
+        begun = False
+        try:
+            body = wire.write_body(query, state)
+            async with self._exchange(address, body, headers, limit, deadline) as link:
+                events = wire.Events(self.terms.line_bytes)
+                with _until(deadline, Mishap.SILENT_AFTER_LAST_BYTE):
+                    head = await self._head(link)
+                told.report = wire.load_report(_header(head, wire.REPORT_HEADER))
+                finished = ended = False
+                while not ended:
+                    end = anyio.current_time() + self.silence if begun else deadline
+                    cut = Mishap.CUT_IN_STREAM if begun else Mishap.CUT_IN_ANSWER
+                    late = Mishap.CUT_IN_STREAM if begun else Mishap.SILENT_AFTER_LAST_BYTE
+                    try:
+                        with _until(end, late):
+                            event = await self._event(link, cut)
+                    except _Stopped:
+                        if finished:  # the answer is whole; only its last lines are missing
+                            break
+                        raise
+                    if isinstance(event, h11.EndOfMessage):
+                        break
+                    for raw in events.feed(bytes(event.data)):
+                        if raw == b"[DONE]":
+                            ended = True
+                            break
+                        said = wire.answer(raw)
+                        if said.error is not None:
+                            raise _Stopped(Mishap.CUT_IN_STREAM if begun else Mishap.FAILED, str(said.error))
+                        if said.usage is not None:
+                            told.kept, told.read = said.usage.kept, said.usage.prompt_tokens
+                        for choice in said.choices:
+                            if choice.text and not finished:
+                                told.made += 1
+                                if told.made > most_out:
+                                    raise _Stopped(Mishap.GARBLED, f"more than {most_out} tokens")
+                                if not begun:
+                                    begun = True
+                                    await listener.begun()
+                                await listener.said(choice.text)
+                            if choice.finish_reason:
+                                finished, told.finish = True, choice.finish_reason
+                if not finished:
+                    raise _Stopped(Mishap.CUT_IN_STREAM if begun else Mishap.GARBLED, "ends without a finish")
+                await self._rest(link)
+        except _Stopped as stop:
+            told.mishap, told.detail = stop.mishap, stop.detail
+        except wire.Garbled as fault:
+            told.mishap, told.detail = Mishap.GARBLED, str(fault)
+        if told.mishap is not None:
+            # Whatever breaks an answer once its client has seen some of it is a stream cut.
+            told.mishap = Mishap.CUT_IN_STREAM if begun else told.mishap
+            told.ending = ENDINGS[told.mishap]
+        return told
+
+    async def release(self, address: Address, state: State | None, request: str, limit: int) -> bool:
+        """Lets a waiting state go; False where the engine could not be told or does not know the call."""
+        deadline = anyio.current_time() + limit / (1000 * TENTHS)
+        try:
+            body = wire.release_body(state, request)
+            async with self._exchange(address, body, {}, limit, deadline, wire.RELEASE_PATH) as link:
+                with _until(deadline, Mishap.SILENT_AFTER_LAST_BYTE):
+                    await self._head(link)
+                    await self._whole(link)
+        except _Stopped:
+            return False
+        return True
+
+    @asynccontextmanager
+    async def _exchange(self, address: Address, body: bytes, headers: Mapping[str, str], limit: int,
+                        deadline: float, path: str = "/v1/completions") -> AsyncIterator[Link]:
+        """A link on which the request has been sent whole."""
+        if limit <= 0:
+            raise _Stopped(Mishap.NO_TIME)
+        try:
+            with _until(deadline, Mishap.REFUSED):
+                link = await self.pool.take(address)
+        except Full as fault:
+            raise _Stopped(Mishap.OWN_CAP, str(fault)) from None
+        except (OSError, TimeoutError) as fault:
+            raise _Stopped(Mishap.REFUSED, str(fault) or type(fault).__name__) from None
+        kept = False
+        try:
+            with _until(deadline, Mishap.SILENT_BEFORE_LAST_BYTE):
+                await self._send(link, path, headers, body)
+            yield link
+            kept = link.state.their_state is h11.DONE
+        finally:
+            if kept:
+                await self.pool.give_back(link)
+            else:
+                await self.pool.drop(link)
+
+    async def _send(self, link: Link, path: str, headers: Mapping[str, str], body: bytes) -> None:
+        fields = [("Host", f"{link.address[0]}:{link.address[1]}"), ("Content-Type", "application/json"),
+                  ("Content-Length", str(len(body))), *headers.items()]
+        request = h11.Request(method="POST", target=path, headers=fields)
+        head = link.state.send(request)
+        assert head is not None
+        try:
+            # The last byte is held back: until it goes the engine cannot have begun, so a connection
+            # that broke while idle costs no doubt about what ran.
+            await link.stream.send(head + body[:-1])
+            if link.spoke():
+                raise _Stopped(Mishap.CUT_BEFORE_LAST_BYTE, "closed or answered before it had the request")
+        except LOST as fault:
+            raise _Stopped(Mishap.CUT_BEFORE_LAST_BYTE, str(fault)) from None
+        try:
+            await link.stream.send(body[-1:])
+        except LOST as fault:
+            raise _Stopped(Mishap.CUT_AFTER_LAST_BYTE, str(fault)) from None
+        link.state.send(h11.Data(data=body))
+        link.state.send(h11.EndOfMessage())
+
+    async def _head(self, link: Link) -> h11.Response:
+        while True:
+            event = await self._next(link, Mishap.CUT_AFTER_LAST_BYTE)
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise _Stopped(Mishap.GARBLED, f"{type(event).__name__} for an answer")
+            if event.status_code == 200:
+                return event
+            code = ""
+            with suppress(_Stopped):  # the status alone has said what it promises
+                code = wire.error_code(await self._whole(link))
+            raise _Stopped(of_status(event.status_code, code), f"status {event.status_code} {code}".strip())
+
+    async def _whole(self, link: Link) -> bytes:
+        body = bytearray()
+        while True:
+            event = await self._event(link, Mishap.CUT_IN_ANSWER)
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            body += event.data
+            if len(body) > self.terms.read_answer_bytes:
+                raise _Stopped(Mishap.GARBLED, f"an answer of over {self.terms.read_answer_bytes} bytes")
+
+    async def _event(self, link: Link, cut: Mishap) -> h11.Data | h11.EndOfMessage:
+        event = await self._next(link, cut)
+        if isinstance(event, h11.Data | h11.EndOfMessage):
+            return event
+        raise _Stopped(cut, "closed")
+
+    async def _next(self, link: Link, cut: Mishap) -> object:
+        try:
+            while (event := link.state.next_event()) is h11.NEED_DATA:
+                try:
+                    data = await link.stream.receive(RECEIVED)
+                except anyio.EndOfStream:
+                    data = b""
+                link.state.receive_data(data)
+        except h11.RemoteProtocolError as fault:
+            at_end = link.state.trailing_data[1]
+            raise _Stopped(cut if at_end else Mishap.GARBLED, str(fault)) from None
+        except LOST as fault:
+            raise _Stopped(cut, str(fault)) from None
+        if isinstance(event, h11.ConnectionClosed):
+            raise _Stopped(cut, "closed")
+        return event
+
+    async def _rest(self, link: Link) -> None:
+        """What stands after the answer's end, so that the link can serve again; not waited for long."""
+        with anyio.move_on_after(self.terms.connect_ms / 1000):
+            try:
+                for _ in range(8):
+                    if isinstance(await self._event(link, Mishap.CUT_IN_STREAM), h11.EndOfMessage):
+                        return
+            except _Stopped:
+                return
+
+
+class _until:
+    """Like anyio.fail_at, but a time-out becomes the mishap that it is at this point."""
+
+    def __init__(self, deadline: float, mishap: Mishap) -> None:
+        self.scope = anyio.CancelScope(deadline=deadline)
+        self.mishap = mishap
+
+    def __enter__(self) -> None:
+        self.scope.__enter__()
+
+    def __exit__(self, *exc: object) -> bool:
+        swallowed = self.scope.__exit__(*exc)  # type: ignore[arg-type]
+        if self.scope.cancelled_caught:
+            raise _Stopped(self.mishap, "time ran out")
+        return bool(swallowed)
+
+
+def _header(head: h11.Response, name: str) -> str | None:
+    wanted = name.encode()
+    for key, value in head.headers:
+        if key == wanted:
+            return value.decode("latin-1")
+    return None
+
+
+def limit_of(cap: int, left: int) -> int:
+    """A shot's time: its cap, 0 for none, cut to what the client leaves; both in tenths of a millisecond."""
+    return min(cap, left) if cap else left
+
+
+__all__ = ["Address", "Caller", "Ended", "Listener", "State", "limit_of"]
--- a/runspool/front/desk.py
+++ b/runspool/front/desk.py
@@ -93,6 +93,10 @@
         if not errand.out:
             self._step(index, errand, None)
 
+    def drop(self, index: int) -> bool:
+        """Forgets a query whose decisions failed; False where there is none."""
+        return self.errands.pop(index, None) is not None
+
     def rang(self, now: int, token: str) -> None:
         index, _, wait = token.partition(".")
         errand = self.errands.get(int(index))
--- a/runspool/roster/__init__.py
+++ b/runspool/roster/__init__.py
@@ -0,0 +1,1 @@
+"""Following the list of engines: what its news say, what was last known, the watch that feeds both."""
--- /dev/null
+++ b/runspool/roster/watching.py
@@ -0,0 +1,130 @@
+"""The watch on the list service: connects, reads news lines, comes again after a break."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from urllib.parse import quote
+
+import anyio
+import h11
+from anyio.abc import SocketStream
+import structlog
+
+from runspool.roster.following import Following
+from runspool.terms import ListTerms
+from runspool.terms.checked import TENTHS
+from runspool.wire.listing import Entry, Torn, read_news
+
+RECEIVED = 65536
+WATCH_PATH = "/v1/engines/watch"
+
+
+class Broken(Exception):
+    """The watch cannot go on as it is."""
+
+
+class Watch:
+    """Feeds `changed` with entries as they become known, and `lost` once for each break."""
+
+    def __init__(self, terms: ListTerms, front: str, following: Following, now: Callable[[], int],
+                 changed: Callable[[list[Entry]], None], lost: Callable[[], None],
+                 source_address: str | None) -> None:
+        self.terms = terms
+        self.front = front
+        self.following = following
+        self.now = now
+        self.changed = changed
+        self.lost = lost
+        self.source_address = source_address
+        self.log = structlog.get_logger()
+        self.whole_next = True
+        self.heard = 0
+
+    async def follow(self) -> None:
+        """Runs until cancelled; whatever the service does, the last list stays."""
+        losses = 0
+        while True:
+            before = self.heard
+            try:
+                await self._once()
+            except (Broken, Torn, OSError, TimeoutError, anyio.BrokenResourceError, anyio.EndOfStream,
+                    h11.RemoteProtocolError) as fault:
+                losses = 0 if self.heard != before else losses + 1
+                if losses.bit_count() < 2:  # said at the 1st, 2nd, 4th, 8th loss: a long one must not fill the log
+                    self.log.warning("list_lost", reason=str(fault) or type(fault).__name__, losses=losses + 1,
+                                     version=self.following.version)
+            self.lost()
+            await anyio.sleep(self.terms.retry_ms / 1000)
+
+    async def _once(self) -> None:
+        quiet = self.terms.quiet_ms / 1000
+        with anyio.fail_after(quiet):
+            stream = await anyio.connect_tcp(self.terms.host, self.terms.port,
+                                             local_host=self.source_address)
+        async with stream:
+            after = -1 if self.whole_next else self.following.version
+            await self._ask(stream, after)
+            state = self.state
+            rest = bytearray()
+            while True:
+                with anyio.fail_after(quiet):
+                    event = await self._event(stream, state)
+                rest += event
+                *lines, tail = bytes(rest).split(b"\n")
+                rest = bytearray(tail)
+                if len(rest) > self.terms.line_bytes:
+                    raise Broken(f"a line of over {self.terms.line_bytes} bytes")
+                for line in lines:
+                    self._line(line)
+
+    async def _ask(self, stream: SocketStream, after: int) -> None:
+        self.state = h11.Connection(h11.CLIENT)
+        target = f"{WATCH_PATH}?front={quote(self.front)}&after={after}"
+        request = h11.Request(method="GET", target=target, headers=[("Host", self.terms.host)])
+        head = self.state.send(request)
+        assert head is not None
+        self.state.send(h11.EndOfMessage())
+        await stream.send(head)
+
+    async def _event(self, stream: SocketStream, state: h11.Connection) -> bytes:
+        while True:
+            event = state.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    state.receive_data(await stream.receive(RECEIVED))
+                except anyio.EndOfStream:
+                    state.receive_data(b"")
+            elif isinstance(event, h11.Data):
+                return bytes(event.data)
+            elif isinstance(event, h11.Response):
+                if event.status_code != 200:
+                    raise Broken(f"status {event.status_code}")
+            elif not isinstance(event, h11.InformationalResponse):
+                raise Broken("the watch ended")
+
+    def _line(self, line: bytes) -> None:
+        if not line.strip():
+            return
+        try:
+            news = read_news(line)
+        except Torn:
+            self.whole_next = True  # what it said is not known
+            raise
+        self.heard += 1
+        if news.whole:
+            self.whole_next = False
+        changed = self.following.heard(self.now(), news)
+        if changed:
+            self.log.info("list_changed", version=news.version, whole=news.whole,
+                          engines={entry.engine: entry.state for entry in changed[:20]}, count=len(changed))
+            self.changed(changed)
+        if self.following.wants_whole(self.now()):
+            self.whole_next = True
+            raise Broken(f"news is missing after version {self.following.version}")
+
+
+def started(entry: Entry, unix_ms_at_zero: float) -> int:
+    """An engine's start on the front's clock, in tenths of a millisecond, at least 1; 0 for long ago."""
+    if not entry.started_unix_ms:
+        return 0
+    return max(1, round((entry.started_unix_ms - unix_ms_at_zero) * TENTHS))
--- /dev/null
+++ b/runspool/service/running.py
@@ -0,0 +1,185 @@
+"""Starting and stopping a front."""
+
+from __future__ import annotations
+
+import resource
+import signal
+from collections.abc import Callable
+from pathlib import Path
+
+import anyio
+import anyio.to_thread
+from anyio.abc import SocketAttribute, SocketStream, TaskStatus
+import structlog
+
+from runspool.roster.memory import Torn, keep, recall
+from runspool.roster.watching import Watch
+from runspool.service.clock import now
+from runspool.service.conversation import GONE, Conversation
+from runspool.service.front import Front
+from runspool.service.tape import Tape
+from runspool.terms import Terms
+from runspool.wire.completions import error_body
+from runspool.wire.listing import Entry
+
+SWEEP = 1.0  # seconds between looks for idle connections
+ACCEPT_REST = 0.1  # seconds before another connection is accepted where one could not be
+LAST_WORDS = 2.0  # seconds that final answers may still take to be written at the stop
+
+_FULL_BODY = error_body("dismissed", "connections_full", "this front bears no more connections")
+FULL = (b"HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: 1\r\n"
+        b"Connection: close\r\nContent-Length: %d\r\n\r\n" % len(_FULL_BODY)) + _FULL_BODY
+
+
+class Running:
+    """A front with its listener, its watch on the list and its stop."""
+
+    def __init__(self, terms: Terms, tape: Path | None = None, seed: int | None = None) -> None:
+        self.terms = terms
+        self.log = structlog.get_logger()
+        self.front = Front(terms, Tape(tape), seed)
+        self.open = 0
+        self.busy = 0
+        self.stopping = anyio.Event()
+        self.unkept = anyio.Event()
+        file = terms.front.memory_file
+        self.memory = Path(file) if file else None
+        self.port = 0
+
+    async def run(self, *, task_status: TaskStatus[int] = anyio.TASK_STATUS_IGNORED) -> None:
+        """Serves until stop(); reports the port it listens on as started. Cancelled, it ends at once."""
+        front, place = self.front, self.terms.front
+        async with anyio.create_task_group() as tasks:
+            front.tasks = tasks
+            self._recall()
+            # Serving begins only with the listener bound: an address in use is said before anything runs.
+            listener = await anyio.create_tcp_listener(local_host=place.listen.host,
+                                                       local_port=place.listen.port)
+            async with listener:
+                self.port = listener.extra(SocketAttribute.local_port)
+                tasks.start_soon(front.timers.run)
+                tasks.start_soon(self._sweep)
+                tasks.start_soon(self._keep)
+                watch = Watch(place.list, place.name, front.following, now, self._changed, front.list_lost,
+                              place.engines.source_address)
+                tasks.start_soon(watch.follow)
+                serving = anyio.CancelScope()
+                for each in listener.listeners:
+                    tasks.start_soon(self._serve, each, tasks, serving)
+                self.log.info("front_listening", front=place.name, host=place.listen.host, port=self.port)
+                task_status.started(self.port)
+                await self.stopping.wait()
+                front.closing = True
+                serving.cancel()
+            self.log.info("front_stopping", front=place.name, queries=len(front.queries))
+            with anyio.move_on_after(place.bounds.drain_ms / 1000):
+                while front.queries:
+                    await front.empty.wait()
+            front.scrap_all()
+            with anyio.move_on_after(LAST_WORDS):
+                while self.busy:
+                    await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+        await front.caller.pool.close()
+        front.tape.close()
+        self.log.info("front_stopped", front=place.name, counts=dict(front.counts))
+
+    def stop(self) -> None:
+        """Takes nothing new; what is held ends in final answers first."""
+        self.stopping.set()
+
+    async def _serve(self, listener: anyio.abc.Listener[SocketStream], tasks: anyio.abc.TaskGroup,
+                     scope: anyio.CancelScope) -> None:
+        with scope:
+            while True:
+                try:
+                    stream = await listener.accept()
+                except anyio.ClosedResourceError:
+                    return
+                except OSError as fault:
+                    # Out of descriptors, most likely: those who wait in the backlog may be served later.
+                    self.log.error("accept_failed", reason=str(fault))
+                    await anyio.sleep(ACCEPT_REST)
+                    continue
+                tasks.start_soon(self._client, stream)
+
+    async def _client(self, stream: SocketStream) -> None:
+        if self.open >= self.terms.front.bounds.connections:
+            with anyio.move_on_after(1):
+                try:
+                    await stream.send(FULL)
+                    await stream.aclose()
+                except GONE:
+                    pass
+            await anyio.aclose_forcefully(stream)
+            return
+        self.open += 1
+        try:
+            await Conversation(self.front, stream, self._working).run()
+        except Exception as fault:  # one client's trouble stays its own
+            self.log.exception("conversation_failed", fault=repr(fault))
+        finally:
+            self.open -= 1
+            await anyio.aclose_forcefully(stream)
+
+    def _working(self, change: int) -> None:
+        self.busy += change
+
+    def _changed(self, changed: list[Entry]) -> None:
+        self.front.engines_changed(changed)
+        self.unkept.set()
+
+    def _recall(self) -> None:
+        """The last life's list, until the service speaks; a damaged one counts as none."""
+        if self.memory is None:
+            return
+        try:
+            last = recall(self.memory)
+        except Torn as fault:
+            self.log.error("last_list_damaged", reason=str(fault))
+            return
+        if last is not None:
+            self.log.info("last_list", version=last.version, engines=len(last.engines))
+            self.front.engines_changed(self.front.following.recalled(last.engines))
+
+    async def _keep(self) -> None:
+        """Writes the list after each change, the newest only where they come faster than the disk."""
+        while True:
+            await self.unkept.wait()
+            self.unkept = anyio.Event()
+            if self.memory is None:
+                continue
+            following = self.front.following
+            try:
+                await anyio.to_thread.run_sync(keep, self.memory, following.version, following.listed())
+            except OSError as fault:
+                self.log.error("last_list_unwritten", reason=str(fault))
+
+    async def _sweep(self) -> None:
+        while True:
+            await anyio.sleep(SWEEP)
+            await self.front.caller.pool.sweep()
+
+
+async def run_front(terms: Terms, tape: Path | None = None, seed: int | None = None,
+                    heard: Callable[[Running], None] | None = None) -> None:
+    """Runs a front in this process until SIGTERM or SIGINT; a second one ends it without waiting."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    wanted = terms.front.bounds.connections + terms.front.bounds.queries
+    if hard != resource.RLIM_INFINITY and hard < wanted:
+        structlog.get_logger().warning("few_descriptors", allowed=hard, wanted=wanted, before=soft)
+    running = Running(terms, tape, seed)
+    if heard is not None:
+        heard(running)
+    async with anyio.create_task_group() as tasks:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async def listen() -> None:
+                async for _ in signals:
+                    if running.stopping.is_set():
+                        tasks.cancel_scope.cancel()
+                    running.stop()
+
+            tasks.start_soon(listen)
+            await running.run()
+            tasks.cancel_scope.cancel()
--- /dev/null
+++ b/runspool/service/timers.py
@@ -0,0 +1,40 @@
+"""All timers of a front on one heap, rung by one task."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+
+import anyio
+
+from runspool.service.clock import now
+
+
+class Timers:
+    """Timers cannot be taken back; whoever set one passes over a ring that has become moot."""
+
+    def __init__(self, ring: Callable[[str], None]) -> None:
+        self.ring = ring
+        self.heap: list[tuple[int, int, str]] = []
+        self.set = 0
+        self.sooner = anyio.Event()
+
+    def at(self, when: int, token: str) -> None:
+        """`when` in tenths of a millisecond on the front's clock."""
+        first = not self.heap or when < self.heap[0][0]
+        self.set += 1
+        heapq.heappush(self.heap, (when, self.set, token))
+        if first:
+            self.sooner.set()
+
+    async def run(self) -> None:
+        """Rings until cancelled; a cancel loses nothing but the rings to come."""
+        while True:
+            while self.heap and self.heap[0][0] <= now():
+                self.ring(heapq.heappop(self.heap)[2])
+            self.sooner = anyio.Event()
+            if not self.heap:
+                await self.sooner.wait()
+                continue
+            with anyio.move_on_after(max(0.0, (self.heap[0][0] - now()) / 10_000)):
+                await self.sooner.wait()
--- a/runspool/terms/checked.py
+++ b/runspool/terms/checked.py
@@ -112,6 +112,7 @@
     body_ms: SomeMillis
     idle_ms: SomeMillis
     answer_write_ms: SomeMillis
+    stream_silence_ms: SomeMillis
     longest_limit_ms: SomeMillis
     drain_ms: SomeMillis
 
@@ -183,8 +184,8 @@
             zone=house.zones.index(self.front.zone),
             tariffs=[
                 TariffTerms(tenths(row.due_ms), tenths(row.due_per_1000_tokens_ms),
-                            tenths(row.pace_ms_per_token), row.gain, row.late_share, Effect[row.effect.upper()],
-                            Group[row.group.upper()], tenths(row.window_ms))
+                            tenths(row.pace_ms_per_token), row.gain, row.late_share,
+                            Effect[row.effect.upper()], Group[row.group.upper()], tenths(row.window_ms))
                 for row in house.tariffs.values()
             ],
             tenants=[TenantTerms(row.queries_per_second) for row in house.tenants.values()],
--- a/runspool/terms/library/runspool.libsonnet
+++ b/runspool/terms/library/runspool.libsonnet
@@ -47,6 +47,7 @@
     body_ms: 10000,
     idle_ms: 30000,
     answer_write_ms: 5000,
+    stream_silence_ms: 10000,
     longest_limit_ms: 120000,
     drain_ms: 20000,
   },
--- a/runspool/wire/completions.py
+++ b/runspool/wire/completions.py
@@ -50,9 +50,9 @@
 
 
 def read_wish(headers: Mapping[str, str], body: bytes, terms: Terms) -> Wish:
-    """A checked wish from lower-case headers and a body; raises Misworded at the first thing that is wrong."""
+    """A checked wish from lower-case headers and a body; raises Misworded at the first thing wrong."""
     try:
-        fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+        fields: dict[str, msgspec.Raw] = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
     except (msgspec.DecodeError, UnicodeDecodeError) as fault:
         raise Misworded("body", f"not a JSON object ({fault})") from None
     house = terms.house
@@ -126,7 +126,7 @@
     if raw is None:
         return absent
     try:
-        found = msgspec.json.decode(raw, type=kind | None)
+        found: Any = msgspec.json.decode(raw, type=kind | None)
     except msgspec.DecodeError as fault:
         raise Misworded(name, str(fault)) from None
     return absent if found is None else found
--- a/runspool/wire/engine.py
+++ b/runspool/wire/engine.py
@@ -2,7 +2,7 @@
 
 Source: vLLM's published serving API. A read is a completion with `max_tokens` 1 and `kv_transfer_params` that
 ask for a remote decode; its answer hands back the parameters under which the read state waits. A write sends
-those on and streams. The load report is the published `endpoint-load-metrics` response header in its JSON form.
+those on and streams. The load report is the published `endpoint-load-metrics` header in its JSON form.
 Letting a state go has no published call: `POST /v1/kv/release` is runspool's own and an engine may lack it.
 """
 
@@ -60,7 +60,9 @@
     error: EngineError | str | None = None
 
 
-_answers = msgspec.json.Decoder(Answer)
+_reports: msgspec.json.Decoder[dict[str, dict[str, float]]] = msgspec.json.Decoder(
+    dict[str, dict[str, float]])
+_answers: msgspec.json.Decoder[Answer] = msgspec.json.Decoder(Answer)
 
 
 def read_body(query: dict[str, msgspec.Raw]) -> bytes:
@@ -80,8 +82,9 @@
     return msgspec.json.encode(said)
 
 
-def release_body(state: dict[str, msgspec.Raw]) -> bytes:
-    return msgspec.json.encode({"kv_transfer_params": state})
+def release_body(state: dict[str, msgspec.Raw] | None, request: str) -> bytes:
+    """Names the state by its parameters, or by the read's request id where no answer told them."""
+    return msgspec.json.encode({"kv_transfer_params": state, "request_id": request})
 
 
 def answer(raw: bytes) -> Answer:
@@ -106,7 +109,7 @@
     if header is None or not header.startswith("JSON"):
         return None
     try:
-        named = msgspec.json.decode(header[4:].strip().encode(), type=dict[str, dict[str, float]])
+        named = _reports.decode(header[4:].strip().encode())
     except msgspec.DecodeError:
         return None
     figures = named.get("named_metrics", {})
--- a/runspool/wire/listing.py
+++ b/runspool/wire/listing.py
@@ -20,9 +20,10 @@
 
 
 class News(msgspec.Struct, frozen=True):
-    """One line: `whole` lists replace what was known, others carry only what changed; `beat` carries nothing."""
+    """One line: `whole` lists replace what was known, others carry what changed; `beat` carries nothing."""
 
     version: int
+    epoch: str = ""
     whole: bool = False
     beat: bool = False
     engines: list[Entry] = []
@@ -32,7 +33,7 @@
     """A line that is no news."""
 
 
-_news = msgspec.json.Decoder(News)
+_news: msgspec.json.Decoder[News] = msgspec.json.Decoder(News)
 
 
 def read_news(line: bytes) -> News:
