--- a/runspool/roster/watching.py
+++ b/runspool/roster/watching.py
@@ -49,10 +49,10 @@
                 await self._once()
             except (Broken, Torn, OSError, TimeoutError, anyio.BrokenResourceError, anyio.EndOfStream,
                     h11.RemoteProtocolError) as fault:
-                losses = 0 if self.heard != before else losses + 1
-                if losses.bit_count() < 2:  # said at the 1st, 2nd, 4th, 8th loss: a long one must not fill the log
-                    self.log.warning("list_lost", reason=str(fault) or type(fault).__name__, losses=losses + 1,
-                                     version=self.following.version)
+                losses = 1 if self.heard != before else losses + 1
+                if losses.bit_count() == 1:  # the 1st, 2nd, 4th, 8th: a long loss must not fill the log
+                    self.log.warning("list_lost", reason=str(fault) or type(fault).__name__,
+                                     losses=losses, version=self.following.version)
             self.lost()
             await anyio.sleep(self.terms.retry_ms / 1000)
 
--- a/runspool/service/running.py
+++ b/runspool/service/running.py
@@ -9,7 +9,7 @@
 
 import anyio
 import anyio.to_thread
-from anyio.abc import SocketAttribute, SocketStream, TaskStatus
+from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskStatus
 import structlog
 
 from runspool.roster.memory import Torn, keep, recall
@@ -65,6 +65,7 @@
                 tasks.start_soon(watch.follow)
                 serving = anyio.CancelScope()
                 for each in listener.listeners:
+                    assert isinstance(each, SocketListener)
                     tasks.start_soon(self._serve, each, tasks, serving)
                 self.log.info("front_listening", front=place.name, host=place.listen.host, port=self.port)
                 task_status.started(self.port)
@@ -88,7 +89,7 @@
         """Takes nothing new; what is held ends in final answers first."""
         self.stopping.set()
 
-    async def _serve(self, listener: anyio.abc.Listener[SocketStream], tasks: anyio.abc.TaskGroup,
+    async def _serve(self, listener: SocketListener, tasks: anyio.abc.TaskGroup,
                      scope: anyio.CancelScope) -> None:
         with scope:
             while True:
