--- a/runspool/lab/audit.py
+++ b/runspool/lab/audit.py
@@ -181,7 +181,7 @@
         asked, answer = seen.asked, seen.answer
         if seen.sent is None:
             continue
-        end = answer["t"] if answer else found.last
+        end = answer["at"] if answer else found.last
         kind = answer["kind"] if answer else "none"
         if kind in UNANSWERED and _killed_between(found, asked["front"], asked["t"] - SEEN_SLACK, end):
             continue  # what a killed front held is no longer its duty
--- a/runspool/lab/clients.py
+++ b/runspool/lab/clients.py
@@ -47,6 +47,7 @@
     kind: str
     code: str = ""
     wait: int = 0  # tenths of a millisecond that the answer asks to wait
+    at: int = 0  # when its last byte was there; 0 where nothing came
 
 
 class Clients:
@@ -100,7 +101,7 @@
         else:
             async with stream:
                 seen = await self._talk(item, name, limit, stream)
-        self.record.line("answer", kind=seen.kind, code=seen.code, **{"try": name})
+        self.record.line("answer", kind=seen.kind, code=seen.code, at=seen.at or now(), **{"try": name})
         return seen
 
     async def _talk(self, item: Item, name: str, limit: int, stream: SocketStream) -> Seen:
@@ -178,19 +179,16 @@
                 event = await self._event()
                 scope.deadline = anyio.current_time() + STALL
                 if isinstance(event, h11.EndOfMessage):
-                    await self._after()
-                    return Seen("lost", "no_end")
+                    return await self._after(Seen("lost", "no_end"))
                 if not isinstance(event, h11.Data):
                     return Seen("lost", "cut")
                 for raw in events.feed(bytes(event.data)):
                     if raw == b"[DONE]":
                         self.record.line("end", tokens=tokens, finish=finish, **{"try": self.name})
-                        await self._after()
-                        return Seen("succeeded" if finish else "lost", finish)
+                        return await self._after(Seen("succeeded" if finish else "lost", finish, at=now()))
                     said = _event_of(raw)
                     if said.error is not None:
-                        await self._after()
-                        return Seen("scrapped", str(said.error.get("code", "")))
+                        return await self._after(Seen("scrapped", str(said.error.get("code", "")), at=now()))
                     for choice in said.choices:
                         if choice.text:
                             # A gap or a repeat in what the engine counted would show here.
@@ -212,20 +210,19 @@
             body += event.data
         if not isinstance(event, h11.EndOfMessage):
             return Seen("lost", "cut")
-        said = _event_of(bytes(body))
-        await self._after()
+        at, said = now(), _event_of(bytes(body))
         headers = {key.decode(): value.decode() for key, value in head.headers}
         if head.status_code == 200:
             self.record.line("first", whole=True, **{"try": self.name})
-            return Seen("succeeded")
+            return await self._after(Seen("succeeded", at=at))
         error = said.error or {}
         code = str(error.get("code", ""))
         if error.get("type") == "dismissed":
             kind = "refused" if code in ("closing", "front_full", "connections_full") else "dismissed"
             wait = int(float(headers.get("retry-after-ms", 0)) * 10)
-            return Seen(kind, code, wait)
+            return await self._after(Seen(kind, code, wait, at))
         if error.get("type") == "scrapped":
-            return Seen("scrapped", code)
+            return await self._after(Seen("scrapped", code, at=at))
         return Seen("malformed", f"{head.status_code} {code}")
 
     async def _event(self) -> object:
@@ -237,12 +234,12 @@
             self.state.receive_data(data)
         return event
 
-    async def _after(self) -> None:
+    async def _after(self, seen: Seen) -> Seen:
         """Anything that still comes after the final answer is recorded: it would break the first rule."""
         while self.state.our_state is h11.MUST_CLOSE and self.state.their_state not in (h11.MUST_CLOSE,
                                                                                       h11.CLOSED):
             if not isinstance(await self._event(), h11.Data | h11.EndOfMessage):
-                return
+                return seen
         extra = bytes(self.state.trailing_data[0])
         with anyio.move_on_after(AFTER_END):
             try:
@@ -252,6 +249,7 @@
                 pass
         if extra:
             self.record.line("extra", bytes=len(extra), **{"try": self.name})
+        return seen
 
 
 class _Choice(msgspec.Struct):
--- a/runspool/lab/director.py
+++ b/runspool/lab/director.py
@@ -29,7 +29,9 @@
 from runspool.terms.reading import LIBRARY
 from runspool.wire import listing as wire
 
-PORTS = range(20_000, 30_000)  # under the range from which the kernel takes ports for calls going out
+# Blocks of ports under the range from which the kernel takes those for calls going out. A day holds the first
+# port of its block for as long as it runs: two days at once must not find each other's engines.
+BLOCKS = range(20_000, 30_000, 100)
 START_LIMIT = 30.0
 STOP_LIMIT = 30.0
 LEAD = 5_000  # tenths of a millisecond between the last start and the first query
@@ -42,20 +44,30 @@
     """The day could not be played; the reason names the process."""
 
 
-def free_ports(count: int, rng: Random) -> list[int]:
-    """Ports on which nothing listens now."""
-    found: list[int] = []
-    for port in rng.sample(PORTS, len(PORTS)):
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        found.append(port)
-        if len(found) == count:
-            return found
-    raise Failed("no free ports")
+def claim_ports(count: int) -> tuple[socket.socket, list[int]]:
+    """A claim to keep open, and `count` ports that are this day's while it is."""
+    for block in BLOCKS:
+        claim = socket.socket()
+        try:
+            claim.bind(("127.0.0.1", block))
+        except OSError:
+            claim.close()
+            continue
+        found = [port for port in range(block + 1, block + 100) if _free(port)]
+        if len(found) >= count:
+            return claim, found[:count]
+        claim.close()
+    raise Failed(f"no block of ports with {count} free ones")
+
+
+def _free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 def front_terms(plan: Plan, at: int, list_port: int, folder: Path) -> dict[str, Any]:
@@ -137,7 +149,7 @@
             old.unlink()
         self.record = Recorder(self.parts / "director.jsonl")
         self.listing.record = self.record
-        ports = free_ports(len(plan.engines) + len(plan.fronts), self.rng)
+        claim, ports = claim_ports(len(plan.engines) + len(plan.fronts))
         for engine in plan.engines:
             engine.port = ports.pop()
         for front in plan.fronts:
@@ -156,6 +168,7 @@
         finally:
             with anyio.CancelScope(shield=True):
                 await self._kill_all()
+            claim.close()
         self.record.close()
         whole = folder / "wire.jsonl"
         recording.merge(sorted(self.parts.iterdir()), whole)
@@ -195,6 +208,7 @@
         async with anyio.create_task_group() as tasks:
             for trouble in self.plan.troubles:
                 tasks.start_soon(self._trouble, trouble)
+            tasks.start_soon(self._lag)
             if self.progress is not None:
                 tasks.start_soon(self._show)
             await clients.run(items, self.start)
@@ -202,6 +216,14 @@
             await anyio.sleep(0.5)  # what is held is let go within this
             tasks.cancel_scope.cancel()
 
+    async def _lag(self) -> None:
+        """Records where this process itself was late, so that a late reading is not taken for a late answer."""
+        while True:
+            due = now() + 200
+            await anyio.sleep(0.02)
+            if now() > due + 200:
+                self.record.line("lag", late=now() - due)
+
     async def _show(self) -> None:
         assert self.progress is not None
         while True:
--- a/runspool/lab/engine.py
+++ b/runspool/lab/engine.py
@@ -293,7 +293,7 @@
                          **{"try": standin.try_})
         how = "lost"
         try:
-            how = await self._play(asked, row, request, standin.try_)
+            how = await self._play(asked, row, request, standin.try_, reads)
             if not how:
                 job = Job(request, tariff, max(1, length), blocks(body.prompt), standin.out, not reads,
                           fetches)
@@ -416,10 +416,11 @@
         else:
             await anyio.aclose_forcefully(asked.stream)
 
-    async def _play(self, asked: Asked, row: str, request: str, try_: str) -> str:
+    async def _play(self, asked: Asked, row: str, request: str, try_: str, reads: bool) -> str:
         """Plays a forced mishap that needs no work; empty where the request is to be served."""
         def ran() -> None:
-            self.record.line("ran", engine=self.make.name, request=request, **{"try": try_})
+            if not reads:  # reading has no effect
+                self.record.line("ran", engine=self.make.name, request=request, **{"try": try_})
 
         match row:
             case "reset_after":
--- a/runspool/service/front.py
+++ b/runspool/service/front.py
@@ -19,6 +19,7 @@
 from runspool.front.door import Door, mark
 from runspool.roster.following import Following
 from runspool.roster.watching import started
+from runspool.service.budget import first_token_budget
 from runspool.service.clock import now, unix_ms_at_zero
 from runspool.service.tape import Tape
 from runspool.service.taken import Final, Kind, Reply, Taken
@@ -98,7 +99,8 @@
             most_out=wish.most_out,
             likely_out=wish.likely_out,
             # The answer still has to reach the client within its time.
-            budget=max(0, limit - self.house.answer_slack - at),
+            budget=first_token_budget(limit - self.house.answer_slack - at, not wish.stream,
+                                      wish.likely_out, self.house.tariffs[self.tariffs[wish.tariff]]),
             resent=wish.resent,
             again=wish.again,
             session_mark=mark(wish.session or ""),
@@ -263,10 +265,12 @@
     def _ring(self, token: str) -> None:
         if token.startswith(GUARD):
             taken = self.queries.get(int(token.removeprefix(GUARD)))
-            if taken is not None and not taken.begun and taken.settle(
+            # A begun stream is its client's; a whole answer not complete by now comes too late.
+            if taken is not None and not (taken.begun and taken.wish.stream) and taken.settle(
                     Final(Kind.SCRAPPED, "out_of_time", "nothing is promised: it may or may not have run")):
-                # The module answers before this; if it ever does not, the client must not wait in vain.
-                self.log.error("answered_by_guard", query=taken.id)
+                if not taken.begun:
+                    # The module answers before this; if it ever does not, the client must not wait in vain.
+                    self.log.error("answered_by_guard", query=taken.id)
                 self.counts["scrapped"] += 1
                 self._leave(taken)
             return
--- a/runspool/service/timers.py
+++ b/runspool/service/timers.py
@@ -6,9 +6,12 @@
 from collections.abc import Callable
 
 import anyio
+import structlog
 
 from runspool.service.clock import now
 
+LATE = 300  # tenths of a millisecond: past this a front is short of CPU, and its answers may come late
+
 
 class Timers:
     """Timers cannot be taken back; whoever set one passes over a ring that has become moot."""
@@ -18,6 +21,7 @@
         self.heap: list[tuple[int, int, str]] = []
         self.set = 0
         self.sooner = anyio.Event()
+        self.log = structlog.get_logger()
 
     def at(self, when: int, token: str) -> None:
         """`when` in tenths of a millisecond on the front's clock."""
@@ -30,6 +34,8 @@
     async def run(self) -> None:
         """Rings until cancelled; a cancel loses nothing but the rings to come."""
         while True:
+            if self.heap and now() - self.heap[0][0] > LATE:
+                self.log.warning("timers_late", late_ms=(now() - self.heap[0][0]) / 10, waiting=len(self.heap))
             while self.heap and self.heap[0][0] <= now():
                 self.ring(heapq.heappop(self.heap)[2])
             self.sooner = anyio.Event()
