--- a/runspool/cli/lab.py
+++ b/runspool/cli/lab.py
@@ -72,26 +72,29 @@
 
 @app.command(epilog="Example: runspool lab engine plan.json --at 0 --out engine.jsonl < /dev/zero")
 def engine(plan: Annotated[Path, typer.Argument(help="A day's plan.json.")],
-           at: Annotated[int, typer.Option(min=0, help="Which of its engines.")] = 0,
+           at: Annotated[list[int], typer.Option(min=0, help="Which of its engines; may be repeated.")],
            out: Annotated[Path | None, typer.Option(help="Where to record.")] = None,
            life: int = 1, cold: bool = False) -> None:
     """Run one stand-in engine until standard input ends; faults come there as JSON lines."""
     try:
         whole: Plan = msgspec.json.decode(plan.read_bytes(), type=Plan)
-        one = whole.engines[at]
+        ones = [whole.engines[number] for number in at]
     except (OSError, msgspec.DecodeError, IndexError) as fault:
         _fail(f"{plan}: {fault}")
-    anyio.run(_engine, Engine(one.make, recording.Recorder(out), cold, whole.seed * 1000 + at * 10 + life),
-              one.port)
+    record = recording.Recorder(out)
+    anyio.run(_engines, {
+        number: (Engine(one.make, record, cold, whole.seed * 1000 + number * 10 + life), one.port)
+        for number, one in zip(at, ones, strict=True)})
 
 
-async def _engine(one: Engine, port: int) -> None:
+async def _engines(ones: dict[int, tuple[Engine, int]]) -> None:
     async with anyio.create_task_group() as tasks:
-        await tasks.start(one.run, "127.0.0.1", port)
+        for one, port in ones.values():
+            await tasks.start(one.run, "127.0.0.1", port)
         while line := await anyio.to_thread.run_sync(sys.stdin.buffer.readline, abandon_on_cancel=True):
             try:
                 said = json.loads(line)
-                one.fault(said.pop("fault"), **said)
+                ones[said.pop("at")][0].fault(said.pop("fault"), **said)
             except (ValueError, KeyError, TypeError) as fault:
                 typer.echo(f"fault not played: {fault!r}", err=True)
         tasks.cancel_scope.cancel()
--- a/runspool/engines/shots.py
+++ b/runspool/engines/shots.py
@@ -15,7 +15,8 @@
 from runspool.engines.connections import RECEIVED, Full, Link, Pool
 from runspool.engines.endings import ENDINGS, Mishap, of_status
 from runspool.terms import EnginesTerms
-from runspool.terms.checked import TENTHS
+from runspool.engines.vigil import Vigil, Watched
+from runspool.terms.checked import TENTHS, tenths
 from runspool.wire import engine as wire
 
 Address = tuple[str, int]
@@ -57,7 +58,8 @@
     def __init__(self, terms: EnginesTerms, now: Callable[[], int], silence_ms: float) -> None:
         self.terms = terms
         self.now = now
-        self.silence = silence_ms / 1000
+        self.silence = tenths(silence_ms)
+        self.vigil = Vigil(now)
         self.pool = Pool(terms, now)
 
     async def read(self, address: Address, query: State, headers: Mapping[str, str], limit: int) -> Ended:
@@ -93,50 +95,25 @@
         """
         deadline = anyio.current_time() + limit / (1000 * TENTHS)
         told = Ended(Ending.SUCCEEDED)
-        begun = False
+        answer = _Answer(self, told, most_out, listener)
         try:
             body = wire.write_body(query, state)
             async with self._exchange(address, body, headers, limit, deadline) as link:
-                events = wire.Events(self.terms.line_bytes)
                 with _until(deadline, Mishap.SILENT_AFTER_LAST_BYTE):
                     head = await self._head(link)
-                told.report = wire.load_report(_header(head, wire.REPORT_HEADER))
-                finished = ended = False
-                while not ended:
-                    end = anyio.current_time() + self.silence if begun else deadline
-                    cut = Mishap.CUT_IN_STREAM if begun else Mishap.CUT_IN_ANSWER
-                    late = Mishap.CUT_IN_STREAM if begun else Mishap.SILENT_AFTER_LAST_BYTE
+                    told.report = wire.load_report(_header(head, wire.REPORT_HEADER))
+                    texts = await answer.first(link)
+                with anyio.CancelScope() as scope:
+                    watched = self.vigil.watch(self.silence, scope.cancel)
                     try:
-                        with _until(end, late):
-                            event = await self._event(link, cut)
-                    except _Stopped:
-                        if finished:  # the answer is whole; only its last lines are missing
-                            break
-                        raise
-                    if isinstance(event, h11.EndOfMessage):
-                        break
-                    for raw in events.feed(bytes(event.data)):
-                        if raw == b"[DONE]":
-                            ended = True
-                            break
-                        said = wire.answer(raw)
-                        if said.error is not None:
-                            raise _Stopped(Mishap.CUT_IN_STREAM if begun else Mishap.FAILED, str(said.error))
-                        if said.usage is not None:
-                            told.kept, told.read = said.usage.kept, said.usage.prompt_tokens
-                        for choice in said.choices:
-                            if choice.text and not finished:
-                                told.made += 1
-                                if told.made > most_out:
-                                    raise _Stopped(Mishap.GARBLED, f"more than {most_out} tokens")
-                                if not begun:
-                                    begun = True
-                                    await listener.begun()
-                                await listener.said(choice.text)
-                            if choice.finish_reason:
-                                finished, told.finish = True, choice.finish_reason
-                if not finished:
-                    raise _Stopped(Mishap.CUT_IN_STREAM if begun else Mishap.GARBLED, "ends without a finish")
+                        await answer.rest(link, texts, watched)
+                    finally:
+                        self.vigil.forget(watched)
+                if watched.ran_out and not answer.finished:
+                    raise _Stopped(Mishap.CUT_IN_STREAM, "silent")
+                if not answer.finished:
+                    raise _Stopped(Mishap.CUT_IN_STREAM if answer.begun else Mishap.GARBLED,
+                                   "ends without a finish")
                 await self._rest(link)
         except _Stopped as stop:
             told.mishap, told.detail = stop.mishap, stop.detail
@@ -144,7 +121,7 @@
             told.mishap, told.detail = Mishap.GARBLED, str(fault)
         if told.mishap is not None:
             # Whatever breaks an answer once its client has seen some of it is a stream cut.
-            told.mishap = Mishap.CUT_IN_STREAM if begun else told.mishap
+            told.mishap = Mishap.CUT_IN_STREAM if answer.begun else told.mishap
             told.ending = ENDINGS[told.mishap]
         return told
 
@@ -265,6 +242,68 @@
                 return
 
 
+class _Answer:
+    """A streamed answer as it is read off a link."""
+
+    def __init__(self, caller: Caller, told: Ended, most_out: int, listener: Listener) -> None:
+        self.caller = caller
+        self.told = told
+        self.most_out = most_out
+        self.listener = listener
+        self.events = wire.Events(caller.terms.line_bytes)
+        self.begun = self.finished = self.over = False
+
+    async def first(self, link: Link) -> str:
+        """The first text, or empty where the answer ends without any."""
+        while not self.over:
+            if texts := await self._texts(link, Mishap.CUT_IN_ANSWER):
+                return texts
+        return ""
+
+    async def rest(self, link: Link, texts: str, watched: Watched) -> None:
+        """Passes on what has come and all that follows; what came together goes on together."""
+        if texts:
+            self.begun = True
+            await self.listener.begun()
+            await self.listener.said(texts)
+        while not self.over:
+            watched.since = self.caller.now()
+            try:
+                texts = await self._texts(link, Mishap.CUT_IN_STREAM)
+            except _Stopped:
+                if self.finished:  # the answer is whole; only its last lines are missing
+                    return
+                raise
+            watched.since = 0
+            if texts:
+                await self.listener.said(texts)
+
+    async def _texts(self, link: Link, cut: Mishap) -> str:
+        event = await self.caller._event(link, cut)
+        if isinstance(event, h11.EndOfMessage):
+            self.over = True
+            return ""
+        texts, told = [], self.told
+        for raw in self.events.feed(bytes(event.data)):
+            if raw == b"[DONE]":
+                self.over = True
+                break
+            said = wire.answer(raw)
+            if said.error is not None:
+                raise _Stopped(Mishap.FAILED, str(said.error))
+            if said.usage is not None:
+                told.kept, told.read = said.usage.kept, said.usage.prompt_tokens
+            for choice in said.choices:
+                if choice.text and not self.finished:
+                    told.made += 1
+                    texts.append(choice.text)
+                if choice.finish_reason:
+                    self.finished, told.finish = True, choice.finish_reason
+        if told.made > self.most_out:
+            raise _Stopped(Mishap.GARBLED, f"more than {self.most_out} tokens")
+        return "".join(texts)
+
+
 class _until:
     """Like anyio.fail_at, but a time-out becomes the mishap that it is at this point."""
 
--- /dev/null
+++ b/runspool/engines/vigil.py
@@ -0,0 +1,54 @@
+"""One look now and then at all that may fall silent, instead of a timer for each token.
+
+A timer set and cancelled for every token was a third of what passing a token on cost; a bound of seconds
+needs no such care. Whoever waits notes since when; what has waited too long at a look is cancelled.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+
+LOOK = 0.1  # seconds between looks: a bound is kept to within this
+
+
+@dataclass(slots=True, eq=False)
+class Watched:
+    """Something that waits for a peer. `since` is the time the wait began, 0 while nothing is waited for."""
+
+    patience: int
+    out: Callable[[], None]
+    since: int = 0
+    ran_out: bool = False
+
+
+class Vigil:
+    """Calls `out`, once, for what has waited past its patience; times in tenths of a millisecond."""
+
+    def __init__(self, now: Callable[[], int]) -> None:
+        self.now = now
+        self.watched: set[Watched] = set()
+
+    def watch(self, patience: int, out: Callable[[], None]) -> Watched:
+        """To be handed back to forget(), whatever happens between."""
+        one = Watched(patience, out)
+        self.watched.add(one)
+        return one
+
+    def forget(self, one: Watched) -> None:
+        self.watched.discard(one)
+
+    async def run(self) -> None:
+        """Looks until cancelled."""
+        while True:
+            await anyio.sleep(LOOK)
+            self.look()
+
+    def look(self) -> None:
+        at = self.now()
+        for one in [one for one in self.watched if one.since and at - one.since > one.patience]:
+            one.ran_out = True
+            self.forget(one)
+            one.out()
--- a/runspool/lab/clients.py
+++ b/runspool/lab/clients.py
@@ -192,10 +192,11 @@
                     for choice in said.choices:
                         if choice.text:
                             # A gap or a repeat in what the engine counted would show here.
-                            if choice.text != f"t{tokens + 1} ":
-                                self.record.line("gap", said=choice.text, wanted=tokens + 1,
-                                                 **{"try": self.name})
-                            tokens += 1
+                            for token in choice.text.split():
+                                if token != f"t{tokens + 1}":
+                                    self.record.line("gap", said=token, wanted=tokens + 1,
+                                                     **{"try": self.name})
+                                tokens += 1
                             if not self.began:
                                 self.began = True
                                 self.record.line("first", **{"try": self.name})
--- a/runspool/lab/director.py
+++ b/runspool/lab/director.py
@@ -124,12 +124,14 @@
 
     def __init__(self, plan: Plan, folder: Path, tapes: bool = False,
                  progress: Callable[[float], None] | None = None,
-                 front_command: list[str] | None = None) -> None:
+                 front_command: list[str] | None = None, together: int = 1) -> None:
+        """`together`: engines a process; more than one only where none is to be killed."""
         self.plan = plan
         self.folder = folder
         self.tapes = tapes
         self.progress = progress
         self.front_command = front_command or [sys.executable, "-m", "runspool.cli.main", "front"]
+        self.together = together
         self.rng = Random(plan.seed * 31 + 7)
         self.parts = folder / "parts"
         self.record = Recorder(None)
@@ -177,9 +179,14 @@
     async def _start_all(self) -> None:
         plan = self.plan
         for at, one in enumerate(plan.engines):
+            if at % self.together:
+                self.engines.append(self.engines[-1])
+                continue
+            share = range(at, min(at + self.together, len(plan.engines)))
             self.engines.append(Process(one.make.name, [
                 sys.executable, "-m", "runspool.cli.main", "lab", "engine", str(self.folder / "plan.json"),
-                "--at", str(at), "--out", str(self.parts / f"engine-{at}.jsonl")]))
+                *(word for number in share for word in ("--at", str(number))),
+                "--out", str(self.parts / f"engine-{at}.jsonl")]))
         for at, front in enumerate(plan.fronts):
             terms = self.folder / f"{front.name}.json"
             terms.write_text(json.dumps(front_terms(plan, at, self.listing.port, self.folder), indent=1))
@@ -188,7 +195,7 @@
             (self.folder / f"{front.name}.tape").unlink(missing_ok=True)
             self.fronts.append(Process(front.name, [*self.front_command, str(terms)]))
         async with anyio.create_task_group() as tasks:
-            for at in range(len(self.engines)):
+            for at in range(0, len(self.engines), self.together):
                 tasks.start_soon(self._start_engine, at, False)
         for at in range(len(plan.engines)):
             self.listing.set(self._line(at, "on"), at_once=True)
@@ -217,7 +224,7 @@
             tasks.cancel_scope.cancel()
 
     async def _lag(self) -> None:
-        """Records where this process itself was late, so that a late reading is not taken for a late answer."""
+        """Records where this process itself was late: a late reading is no late answer."""
         while True:
             due = now() + 200
             await anyio.sleep(0.02)
@@ -306,7 +313,7 @@
         if child is None or child.stdin is None or child.returncode is not None:
             return
         with suppress(OSError, anyio.BrokenResourceError, anyio.ClosedResourceError):
-            await child.stdin.send(msgspec.json.encode({"fault": name, **said}) + b"\n")
+            await child.stdin.send(msgspec.json.encode({"fault": name, "at": at, **said}) + b"\n")
 
     # Troubles.
 
--- a/runspool/lab/engine.py
+++ b/runspool/lab/engine.py
@@ -326,7 +326,7 @@
         self.work.set()
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(asked.watch)
+                tasks.start_soon(self._watch, live)
                 if row == "silent":
                     await asked.left.wait()
                 how = await (self._stream(live, body, row) if job.answers else self._read(live))
@@ -341,19 +341,13 @@
             self.model.drop(job)
             self.work.set()
 
+    async def _watch(self, live: Live) -> None:
+        await live.asked.watch()
+        live.out.set()
+
     async def _wait(self, live: Live) -> None:
         """Until something is new for this job, or its client is gone."""
-        if live.out.is_set():
-            live.out = anyio.Event()
-            return
-        async with anyio.create_task_group() as tasks:
-            async def left() -> None:
-                await live.asked.left.wait()
-                tasks.cancel_scope.cancel()
-
-            tasks.start_soon(left)
-            await live.out.wait()
-            tasks.cancel_scope.cancel()
+        await live.out.wait()
         live.out = anyio.Event()
         if live.asked.left.is_set():
             raise Left
--- a/runspool/lab/plan.py
+++ b/runspool/lab/plan.py
@@ -198,7 +198,14 @@
         fronts=fronts, engines=engines, clients=ClientsPlan(), troubles=troubles)
 
 
-DAYS: dict[str, Callable[[int], Plan]] = {"bad-night": bad_night}
+def quiet(seed: int, length: int = 20 * SECOND) -> Plan:
+    """The bad night's fleet and crowd with nothing going wrong."""
+    plan = bad_night(seed, 50 * SECOND)
+    plan.name, plan.length, plan.troubles = "quiet", length, []
+    return plan
+
+
+DAYS: dict[str, Callable[[int], Plan]] = {"bad-night": bad_night, "quiet": quiet}
 
 
 class Unplayable(Exception):
--- a/runspool/service/conversation.py
+++ b/runspool/service/conversation.py
@@ -12,9 +12,11 @@
 import msgspec
 import structlog
 
+from runspool.engines.vigil import Watched
 from runspool.service.clock import now
 from runspool.service.front import Front, Refused
 from runspool.service.taken import Final, Kind, Taken
+from runspool.terms.checked import tenths
 from runspool.wire import completions as wire
 
 RECEIVED = 65536
@@ -148,6 +150,8 @@
                               [("Retry-After", "1"), ("X-Should-Retry", "true")])
             return
         reply.query = taken.id
+        if isinstance(reply, _Streamed):
+            reply.watch(taken)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._watch, taken)
@@ -156,6 +160,9 @@
         except BaseException:
             self.front.left(taken)  # this connection is being ended: nobody is there to answer
             raise
+        finally:
+            if isinstance(reply, _Streamed) and reply.watched is not None:
+                self.front.caller.vigil.forget(reply.watched)
         assert taken.final is not None
         await self._answer(taken, reply, taken.final)
 
@@ -243,8 +250,15 @@
         self.opened = False
         self.torn = False  # a send was cut short: what the client has is no longer known
         self.made_at = int(time.time())
+        self.vigil = conversation.front.caller.vigil
+        self.watched: Watched | None = None
         self.model = conversation.front.terms.front.model
 
+    def watch(self, taken: Taken) -> None:
+        """A client that does not read its answer in time counts as one that left."""
+        patience = tenths(self.conversation.bounds.answer_write_ms)
+        self.watched = self.vigil.watch(patience, lambda: self.conversation.front.left(taken))
+
     async def begun(self) -> None:
         head = h11.Response(status_code=200, headers=[
             ("Content-Type", "text/event-stream"), ("Cache-Control", "no-store"),
@@ -266,10 +280,14 @@
             last = wire.chunk(self.query, self.model, self.made_at, "", finish) + wire.DONE
         else:
             last = wire.broken_event(final.code, final.message)
-        await self._send(h11.Data(data=last))
-        await self._send(h11.EndOfMessage())
+        with anyio.fail_after(self.conversation.write_time):
+            await self._send(h11.Data(data=last))
+            await self._send(h11.EndOfMessage())
 
     async def _send(self, event: h11.Event) -> None:
-        self.torn = True
-        await self.conversation._send(event)
-        self.torn = False
+        data = self.conversation.state.send(event)
+        if not data or self.watched is None:
+            return
+        self.torn, self.watched.since = True, now()
+        await self.conversation.stream.send(data)
+        self.torn, self.watched.since = False, 0
--- a/runspool/service/running.py
+++ b/runspool/service/running.py
@@ -59,6 +59,7 @@
                 self.port = listener.extra(SocketAttribute.local_port)
                 tasks.start_soon(front.timers.run)
                 tasks.start_soon(self._sweep)
+                tasks.start_soon(front.caller.vigil.run)
                 tasks.start_soon(self._keep)
                 watch = Watch(place.list, place.name, front.following, now, self._changed, front.list_lost,
                               place.engines.source_address)
--- a/runspool/service/timers.py
+++ b/runspool/service/timers.py
@@ -35,7 +35,8 @@
         """Rings until cancelled; a cancel loses nothing but the rings to come."""
         while True:
             if self.heap and now() - self.heap[0][0] > LATE:
-                self.log.warning("timers_late", late_ms=(now() - self.heap[0][0]) / 10, waiting=len(self.heap))
+                late = now() - self.heap[0][0]
+                self.log.warning("timers_late", late_ms=late / 10, waiting=len(self.heap))
             while self.heap and self.heap[0][0] <= now():
                 self.ring(heapq.heappop(self.heap)[2])
             self.sooner = anyio.Event()
