--- a/runspool/cli/lab.py
+++ b/runspool/cli/lab.py
@@ -84,7 +84,7 @@
     record = recording.Recorder(out)
     anyio.run(_engines, {
         number: (Engine(one.make, record, cold, whole.seed * 1000 + number * 10 + life), one.port)
-        for number, one in zip(at, ones, strict=True)})
+        for number, one in zip(at, ones, strict=True)}, backend_options={"use_uvloop": True})
 
 
 async def _engines(ones: dict[int, tuple[Engine, int]]) -> None:
--- a/runspool/cli/main.py
+++ b/runspool/cli/main.py
@@ -13,6 +13,9 @@
 from runspool.cli.logs import start_logs
 from runspool.service.running import run_front
 
+# Measured on the benchmark of a front: a sixth less CPU than with the loop of the standard library.
+LOOP = {"use_uvloop": True}
+
 app = typer.Typer(no_args_is_help=True, pretty_exceptions_enable=False,
                   help="A router for language-model serving with readers and writers on separate engines.")
 app.add_typer(terms_commands.app, name="terms")
@@ -30,7 +33,7 @@
     checked = terms_commands.read(file, var)
     start_logs(checked.front.log_level)
     try:
-        anyio.run(partial(run_front, checked, tape, seed))
+        anyio.run(partial(run_front, checked, tape, seed), backend_options=LOOP)
     except* OSError as faults:
         typer.echo(f"front {checked.front.name}: {faults.exceptions[0]}", err=True)
         raise typer.Exit(3) from None
--- a/runspool/engines/connections.py
+++ b/runspool/engines/connections.py
@@ -7,13 +7,14 @@
 from collections.abc import Callable
 
 import anyio
-import h11
 from anyio.abc import SocketAttribute, SocketStream
 
+from runspool.engines.replies import Reply
 from runspool.terms import EnginesTerms
 from runspool.terms.checked import TENTHS, tenths
 
 RECEIVED = 65536
+HEAD_BYTES = 65536  # of an answer
 
 
 class Full(Exception):
@@ -21,14 +22,14 @@
 
 
 class Link:
-    """One connection and its HTTP/1.1 state."""
+    """One connection, and the answer that is being read off it."""
 
-    __slots__ = ("address", "idle_since", "poll", "state", "stream")
+    __slots__ = ("address", "idle_since", "poll", "reply", "stream")
 
-    def __init__(self, address: tuple[str, int], stream: SocketStream, head_bytes: int) -> None:
+    def __init__(self, address: tuple[str, int], stream: SocketStream) -> None:
         self.address = address
         self.stream = stream
-        self.state = h11.Connection(h11.CLIENT, max_incomplete_event_size=head_bytes)
+        self.reply = Reply(HEAD_BYTES)
         self.idle_since = 0
         self.poll = select.poll()
         self.poll.register(stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLIN)
@@ -67,12 +68,12 @@
         except BaseException:
             self._closed(address)
             raise
-        return Link(address, stream, self.terms.read_answer_bytes)
+        return Link(address, stream)
 
     async def give_back(self, link: Link) -> None:
         """For a link whose exchange has ended; kept where it can serve again, else closed."""
-        if link.state.our_state is h11.DONE and link.state.their_state is h11.DONE:
-            link.state.start_next_cycle()
+        if link.reply.complete and link.reply.keeps_alive:
+            link.reply = Reply(HEAD_BYTES)
             waiting = self.idle.setdefault(link.address, deque())
             if len(waiting) < self.terms.idle_each:
                 link.idle_since = self.now()
--- /dev/null
+++ b/runspool/engines/replies.py
@@ -0,0 +1,72 @@
+"""An engine's HTTP/1.1 answer, taken apart as its bytes come. Free of I/O.
+
+httptools, a parser in C, and not h11, which serves the clients' side: most of what a front does is to take
+tokens out of chunks, and there h11 alone cost a fifth of its time.
+"""
+
+from __future__ import annotations
+
+import httptools
+
+MOST_HEADERS = 64
+
+
+class BadReply(Exception):
+    """Bytes that are no HTTP answer."""
+
+
+class Reply:
+    """One answer; feed() it until `complete`."""
+
+    def __init__(self, head_bytes: int) -> None:
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.head_done = False
+        self.complete = False
+        self.keeps_alive = False
+        self._body: list[bytes] = []
+        self._left = head_bytes
+        self._parser = httptools.HttpResponseParser(self)
+
+    def feed(self, data: bytes) -> None:
+        """Raises BadReply on bytes that cannot be, a head that is too long, or anything past the end."""
+        if self.complete:
+            raise BadReply("bytes after the answer's end")
+        if not self.head_done:
+            self._left -= len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise BadReply("an upgrade nobody asked for") from None
+        except httptools.HttpParserError as fault:
+            raise BadReply(str(fault)) from None
+        if not self.head_done and self._left < 0:
+            raise BadReply("a head without end")
+
+    def take(self) -> bytes:
+        """The body's bytes that have come since the last call."""
+        if len(self._body) == 1:
+            return self._body.pop()
+        body = b"".join(self._body)
+        self._body.clear()
+        return body
+
+    # Called by the parser.
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if len(self.headers) < MOST_HEADERS:
+            self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        self.status = self._parser.get_status_code()
+        self.head_done = self.status >= 200
+        if not self.head_done:
+            self.headers.clear()  # an interim answer; the real one follows
+
+    def on_body(self, body: bytes) -> None:
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        if self.status >= 200:
+            self.complete = True
+            self.keeps_alive = self._parser.should_keep_alive()
--- a/runspool/engines/shots.py
+++ b/runspool/engines/shots.py
@@ -8,13 +8,13 @@
 from typing import Protocol
 
 import anyio
-import h11
 import msgspec
 
 from runspool.decisions.interface import Ending, Report
 from runspool.engines.connections import RECEIVED, Full, Link, Pool
 from runspool.engines.endings import ENDINGS, Mishap, of_status
 from runspool.terms import EnginesTerms
+from runspool.engines.replies import BadReply, Reply
 from runspool.engines.vigil import Vigil, Watched
 from runspool.terms.checked import TENTHS, tenths
 from runspool.wire import engine as wire
@@ -73,7 +73,7 @@
             async with self._exchange(address, wire.read_body(query), headers, limit, deadline) as link:
                 with _until(deadline, Mishap.SILENT_AFTER_LAST_BYTE):
                     head = await self._head(link)
-                    report = wire.load_report(_header(head, wire.REPORT_HEADER))
+                    report = wire.load_report(head.headers.get(wire.REPORT_HEADER))
                     body = await self._whole(link)
                 answer = wire.answer(body)
                 if not answer.kv_transfer_params:
@@ -101,7 +101,7 @@
             async with self._exchange(address, body, headers, limit, deadline) as link:
                 with _until(deadline, Mishap.SILENT_AFTER_LAST_BYTE):
                     head = await self._head(link)
-                    told.report = wire.load_report(_header(head, wire.REPORT_HEADER))
+                    told.report = wire.load_report(head.headers.get(wire.REPORT_HEADER))
                     texts = await answer.first(link)
                 with anyio.CancelScope() as scope:
                     watched = self.vigil.watch(self.silence, scope.cancel)
@@ -156,7 +156,7 @@
             with _until(deadline, Mishap.SILENT_BEFORE_LAST_BYTE):
                 await self._send(link, path, headers, body)
             yield link
-            kept = link.state.their_state is h11.DONE
+            kept = link.reply.complete
         finally:
             if kept:
                 await self.pool.give_back(link)
@@ -164,11 +164,10 @@
                 await self.pool.drop(link)
 
     async def _send(self, link: Link, path: str, headers: Mapping[str, str], body: bytes) -> None:
-        fields = [("Host", f"{link.address[0]}:{link.address[1]}"), ("Content-Type", "application/json"),
-                  ("Content-Length", str(len(body))), *headers.items()]
-        request = h11.Request(method="POST", target=path, headers=fields)
-        head = link.state.send(request)
-        assert head is not None
+        fields = {"Host": f"{link.address[0]}:{link.address[1]}", "Content-Type": "application/json",
+                  "Content-Length": str(len(body)), **headers}
+        lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        head = f"POST {path} HTTP/1.1\r\n{lines}\r\n".encode("latin-1")
         try:
             # The last byte is held back: until it goes the engine cannot have begun, so a connection
             # that broke while idle costs no doubt about what ran.
@@ -181,63 +180,46 @@
             await link.stream.send(body[-1:])
         except LOST as fault:
             raise _Stopped(Mishap.CUT_AFTER_LAST_BYTE, str(fault)) from None
-        link.state.send(h11.Data(data=body))
-        link.state.send(h11.EndOfMessage())
-
-    async def _head(self, link: Link) -> h11.Response:
-        while True:
-            event = await self._next(link, Mishap.CUT_AFTER_LAST_BYTE)
-            if isinstance(event, h11.InformationalResponse):
-                continue
-            if not isinstance(event, h11.Response):
-                raise _Stopped(Mishap.GARBLED, f"{type(event).__name__} for an answer")
-            if event.status_code == 200:
-                return event
-            code = ""
-            with suppress(_Stopped):  # the status alone has said what it promises
-                code = wire.error_code(await self._whole(link))
-            raise _Stopped(of_status(event.status_code, code), f"status {event.status_code} {code}".strip())
+
+    async def _head(self, link: Link) -> Reply:
+        """The head of a 200; any other status ends the shot."""
+        reply = link.reply
+        while not reply.head_done:
+            await self._more(link, Mishap.CUT_AFTER_LAST_BYTE)
+        if reply.status == 200:
+            return reply
+        code = ""
+        with suppress(_Stopped):  # the status alone has said what it promises
+            code = wire.error_code(await self._whole(link))
+        raise _Stopped(of_status(reply.status, code), f"status {reply.status} {code}".strip())
 
     async def _whole(self, link: Link) -> bytes:
-        body = bytearray()
-        while True:
-            event = await self._event(link, Mishap.CUT_IN_ANSWER)
-            if isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            body += event.data
+        body = bytearray(link.reply.take())
+        while not link.reply.complete:
+            await self._more(link, Mishap.CUT_IN_ANSWER)
+            body += link.reply.take()
             if len(body) > self.terms.read_answer_bytes:
                 raise _Stopped(Mishap.GARBLED, f"an answer of over {self.terms.read_answer_bytes} bytes")
+        return bytes(body)
 
-    async def _event(self, link: Link, cut: Mishap) -> h11.Data | h11.EndOfMessage:
-        event = await self._next(link, cut)
-        if isinstance(event, h11.Data | h11.EndOfMessage):
-            return event
-        raise _Stopped(cut, "closed")
-
-    async def _next(self, link: Link, cut: Mishap) -> object:
+    async def _more(self, link: Link, cut: Mishap) -> None:
+        """Reads what comes next; `cut` is what a connection lost here means."""
         try:
-            while (event := link.state.next_event()) is h11.NEED_DATA:
-                try:
-                    data = await link.stream.receive(RECEIVED)
-                except anyio.EndOfStream:
-                    data = b""
-                link.state.receive_data(data)
-        except h11.RemoteProtocolError as fault:
-            at_end = link.state.trailing_data[1]
-            raise _Stopped(cut if at_end else Mishap.GARBLED, str(fault)) from None
+            link.reply.feed(await link.stream.receive(RECEIVED))
+        except BadReply as fault:
+            raise _Stopped(Mishap.GARBLED, str(fault)) from None
         except LOST as fault:
-            raise _Stopped(cut, str(fault)) from None
-        if isinstance(event, h11.ConnectionClosed):
-            raise _Stopped(cut, "closed")
-        return event
+            raise _Stopped(cut, str(fault) or "closed") from None
 
     async def _rest(self, link: Link) -> None:
         """What stands after the answer's end, so that the link can serve again; not waited for long."""
         with anyio.move_on_after(self.terms.connect_ms / 1000):
             try:
                 for _ in range(8):
-                    if isinstance(await self._event(link, Mishap.CUT_IN_STREAM), h11.EndOfMessage):
+                    if link.reply.complete:
                         return
+                    await self._more(link, Mishap.CUT_IN_STREAM)
+                    link.reply.take()
             except _Stopped:
                 return
 
@@ -279,12 +261,16 @@
                 await self.listener.said(texts)
 
     async def _texts(self, link: Link, cut: Mishap) -> str:
-        event = await self.caller._event(link, cut)
-        if isinstance(event, h11.EndOfMessage):
-            self.over = True
-            return ""
-        texts, told = [], self.told
-        for raw in self.events.feed(bytes(event.data)):
+        reply, told = link.reply, self.told
+        body = reply.take()
+        if not body:
+            if reply.complete:
+                self.over = True
+                return ""
+            await self.caller._more(link, cut)
+            body = reply.take()
+        texts = []
+        for raw in self.events.feed(body):
             if raw == b"[DONE]":
                 self.over = True
                 break
@@ -321,14 +307,6 @@
         return bool(swallowed)
 
 
-def _header(head: h11.Response, name: str) -> str | None:
-    wanted = name.encode()
-    for key, value in head.headers:
-        if key == wanted:
-            return value.decode("latin-1")
-    return None
-
-
 def limit_of(cap: int, left: int) -> int:
     """A shot's time: its cap, 0 for none, cut to what the client leaves; both in tenths of a millisecond."""
     return min(cap, left) if cap else left
--- a/runspool/service/conversation.py
+++ b/runspool/service/conversation.py
@@ -264,10 +264,12 @@
             ("Content-Type", "text/event-stream"), ("Cache-Control", "no-store"),
             ("Transfer-Encoding", "chunked"), ("Runspool-Query", self.query)])
         self.opened = True
+        self.chunks = wire.Chunks(self.query, self.model, self.made_at)
         await self._send(head)
 
     async def said(self, text: str) -> None:
-        await self._send(h11.Data(data=wire.chunk(self.query, self.model, self.made_at, text)))
+        # Past h11: a chunk leaves its state as it is, and asking it cost more than making the event.
+        await self._pass(self.chunks.text(text))
 
     async def finish(self, final: Final) -> None:
         if self.torn:
@@ -286,7 +288,11 @@
 
     async def _send(self, event: h11.Event) -> None:
         data = self.conversation.state.send(event)
-        if not data or self.watched is None:
+        if data:
+            await self._pass(data)
+
+    async def _pass(self, data: bytes) -> None:
+        if self.watched is None:
             return
         self.torn, self.watched.since = True, now()
         await self.conversation.stream.send(data)
--- a/runspool/wire/completions.py
+++ b/runspool/wire/completions.py
@@ -158,6 +158,19 @@
     }) + b"\n\n"
 
 
+class Chunks:
+    """The events of one streamed answer: what does not change from token to token is made once."""
+
+    def __init__(self, query: str, model: str, created: int) -> None:
+        whole = chunk(query, model, created, "\0")
+        self.before, self.after = whole.split(msgspec.json.encode("\0"))
+
+    def text(self, text: str) -> bytes:
+        """The event that carries a text, as one chunk of a chunked body."""
+        event = self.before + msgspec.json.encode(text) + self.after
+        return b"%x\r\n%b\r\n" % (len(event), event)
+
+
 def broken_event(code: str, message: str) -> bytes:
     """The last event of a stream that could not be finished; no [DONE] follows."""
     return b"data: " + error_body("scrapped", code, message) + b"\n\n"
