--- a/runspool/lab/engine.py
+++ b/runspool/lab/engine.py
@@ -100,6 +100,7 @@
         self.port = 0
         self.open = 0
         self.host = "127.0.0.1"
+        self.token = "t"
         self.buckets: dict[str, tuple[float, int]] = {}
         self.seen: Counter[str] = Counter()
         self.tasks: TaskGroup | None = None
@@ -389,7 +390,7 @@
                     await self._break_stream(asked, row)
                     return "broken"
                 sent += 1
-                await asked.chunk(chunk(live.request, MODEL, 0, f"t{sent} "))
+                await asked.chunk(chunk(live.request, MODEL, 0, f"{self.token}{sent} "))
             if job.made >= min(job.out, body.max_tokens):
                 break
         if row in ("no_finish", "error_event"):
--- a/runspool/service/running.py
+++ b/runspool/service/running.py
@@ -48,6 +48,15 @@
 
     async def run(self, *, task_status: TaskStatus[int] = anyio.TASK_STATUS_IGNORED) -> None:
         """Serves until stop(); reports the port it listens on as started. Cancelled, it ends at once."""
+        try:
+            await self._run(task_status)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self.front.caller.pool.close()
+            self.front.tape.close()
+        self.log.info("front_stopped", front=self.terms.front.name, counts=dict(self.front.counts))
+
+    async def _run(self, task_status: TaskStatus[int]) -> None:
         front, place = self.front, self.terms.front
         async with anyio.create_task_group() as tasks:
             front.tasks = tasks
@@ -82,9 +91,6 @@
                 while self.busy:
                     await anyio.sleep(0.01)
             tasks.cancel_scope.cancel()
-        await front.caller.pool.close()
-        front.tape.close()
-        self.log.info("front_stopped", front=place.name, counts=dict(front.counts))
 
     def stop(self) -> None:
         """Takes nothing new; what is held ends in final answers first."""
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,248 @@
+"""A real front between real sockets: one final answer always, whatever client, engine or list does."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import anyio
+import msgspec
+import pytest
+
+from runspool.lab.audit import audit
+from runspool.lab.retrace import retrace
+from runspool.roster.memory import keep
+from runspool.wire.listing import Entry
+from tests.town import Town, answered
+
+pytestmark = pytest.mark.anyio
+
+ASK = (b"POST /v1/completions HTTP/1.1\r\nHost: x\r\nRunspool-Tariff: ask\r\nRunspool-Limit-Ms: 5000\r\n")
+
+
+async def test_an_answer_streams_and_comes_whole(tmp_path: Path) -> None:
+    async with Town(tmp_path, ["prefill", "decode"]).open() as town:
+        streamed = await town.ask(out=7)
+        assert (streamed.status, streamed.text.split()) == (200, [f"t{at}" for at in range(1, 8)])
+        assert streamed.body.endswith(b"data: [DONE]\n\n")
+        whole = await town.ask(out=7, stream=False)
+        said = msgspec.json.decode(whole.body)
+        assert said["choices"][0]["text"] == streamed.text
+        assert said["usage"]["prompt_tokens"] == 50
+        # Read at the reader, fetched by the writer, nothing left behind.
+        assert len(town.seen("held")) == len(town.seen("taken", by="e1")) == 2
+
+
+async def test_what_cannot_be_taken_is_refused_before_intake(tmp_path: Path) -> None:
+    async with Town(tmp_path, ["prefill", "decode"], query_bytes=2000).open() as town:
+        wrong = [
+            (await town.ask("none"), 400, "runspool-tariff"),
+            (await town.ask(body=b"{"), 400, "body"),
+            (await town.ask(body=b"{}"), 400, "prompt"),
+            (await town.ask(body=b'{"prompt": 7}'), 400, "prompt"),
+            (await town.ask(body=b'{"prompt": "x", "max_tokens": 0}'), 400, "max_tokens"),
+            (await town.ask(body=b'{"prompt": "x", "stream": 3}'), 400, "stream"),
+            (await town.ask(runspool_limit_ms="soon"), 400, "runspool-limit-ms"),
+            (await town.ask(runspool_limit_ms="-5"), 400, "runspool-limit-ms"),
+            (await town.ask(runspool_tenant="nobody"), 400, "runspool-tenant"),
+            (await town.ask("mark"), 400, "runspool-ticket"),
+            (await town.ask(runspool_session="s" * 300), 400, "runspool-session"),
+            (await town.ask(tokens=900), 413, "query_bytes"),
+            (await town.say(b"NONSENSE\r\n\r\n"), 400, "malformed"),
+            (await town.say(b"GET / HTTP/1.1\r\nHost: x\r\nA: " + b"x" * 40_000), 431, "malformed"),
+            (await town.say(b"GET /else HTTP/1.1\r\nHost: x\r\n\r\n"), 404, "path"),
+        ]
+        for answer, status, code in wrong:
+            assert (answer.status, answer.error["code"]) == (status, code)
+        assert town.running.front.counts["taken"] == 0
+        assert not town.seen("arrived")
+
+
+async def test_half_a_body_and_a_slow_head_end_in_a_refusal(tmp_path: Path) -> None:
+    async with Town(tmp_path, ["prefill", "decode"], body_ms=100, head_ms=100).open() as town:
+        half = await town.say(ASK + b"Content-Length: 500\r\n\r\n{")
+        assert (half.status, half.error["code"]) == (408, "body_time")
+        slow = await town.say(ASK)
+        assert (slow.status, slow.error["code"]) == (408, "head_time")
+
+
+async def test_no_engine_at_all_is_a_dismissal_in_time(tmp_path: Path) -> None:
+    async with Town(tmp_path, ["prefill", "decode"]).open() as town:
+        town.tell(0, "gone")
+        town.tell(1, "gone")
+        while any(engine.on for engine in town.running.front.desk.rules.engines.values()):
+            await anyio.sleep(0.005)
+        answer = await town.ask(runspool_limit_ms="500")
+        assert (answer.status, answer.error["type"]) == (503, "dismissed")
+        assert answer.headers["x-should-retry"] == "true"
+
+
+async def test_an_exclusive_query_that_may_have_run_is_scrapped_and_not_repeated(tmp_path: Path) -> None:
+    async with Town(tmp_path, ["prefill", "decode", "decode"]).open() as town:
+        for writer in town.engines[1:]:
+            writer.fault("row", row="reset_after", share=1.0)
+        answer = await town.ask("book")
+        assert (answer.status, answer.error["type"]) == (424, "scrapped")
+        # Client libraries repeat 408, 409, 429 and 5xx by themselves; a scrapping must be none of them.
+        assert answer.headers["x-should-retry"] == "false"
+        assert len(town.seen("arrived", stage="write")) == 1
+
+
+async def test_an_exclusive_query_that_cannot_have_run_is_tried_again(tmp_path: Path) -> None:
+    async with Town(tmp_path, ["prefill", "decode", "decode"]).open() as town:
+        for writer in town.engines[1:]:
+            writer.fault("row", row="full_503", share=0.6)
+        answer = await town.ask("book")
+        assert answer.status in (200, 503)  # served in the end, or dismissed: never scrapped
+        assert len(town.seen("ran")) <= 1
+
+
+async def test_a_stream_cut_in_the_middle_ends_in_one_clear_scrapping(tmp_path: Path) -> None:
+    async with Town(tmp_path, ["prefill", "decode"]).open() as town:
+        town.engines[1].fault("row", row="reset_stream", share=1.0)
+        answer = await town.ask(out=50)
+        assert answer.status == 200
+        assert b'"type":"scrapped"' in answer.body.split(b"\n\n")[-2]
+        assert b"[DONE]" not in answer.body
+
+
+async def test_a_client_that_leaves_ends_its_shot_and_its_state(tmp_path: Path) -> None:
+    async with Town(tmp_path, ["prefill", "decode"]).open() as town:
+        town.engines[1].fault("hang", on=True)
+        raw = msgspec.json.encode({"prompt": "abcd" * 40, "stream": True, "standin": {"try": "t", "out": 5}})
+        async with await anyio.connect_tcp("127.0.0.1", town.port) as stream:
+            await stream.send(ASK + b"Content-Length: %d\r\n\r\n" % len(raw) + raw)
+            await town.until("arrived", stage="write")
+        await town.until("ended", how="left")
+        await town.until("released")
+        while town.running.front.queries:
+            await anyio.sleep(0.01)
+        assert town.running.front.counts["left"] == 1
+
+
+async def test_a_client_that_does_not_read_its_answer_counts_as_one_that_left(tmp_path: Path) -> None:
+    async with Town(tmp_path, ["prefill", "decode"], answer_write_ms=300).open() as town:
+        # Tokens of a size that fills every buffer on the way soon.
+        town.engines[1].token = "t" * 60_000
+        raw = msgspec.json.encode({"prompt": "abcd" * 40, "max_tokens": 900, "stream": True,
+                                   "standin": {"try": "t", "out": 800}})
+        async with await anyio.connect_tcp("127.0.0.1", town.port) as stream:
+            await stream.send(ASK + b"Content-Length: %d\r\n\r\n" % len(raw) + raw)
+            await town.until("ended", how="left")
+        assert town.running.front.counts["left"] == 1
+
+
+async def test_a_whole_answer_that_cannot_be_complete_in_time_is_scrapped_in_time(tmp_path: Path) -> None:
+    async with Town(tmp_path, ["prefill", "decode"]).open() as town:
+        started = anyio.current_time()
+        answer = await town.ask(out=400, stream=False, runspool_limit_ms="700")
+        assert (answer.status, answer.error["code"]) == (424, "out_of_time")
+        assert anyio.current_time() - started < 0.75
+        await town.until("ended", how="left")
+
+
+async def test_past_its_bounds_a_front_refuses_cleanly(tmp_path: Path) -> None:
+    async with Town(tmp_path, ["prefill", "decode"], queries=1, connections=3).open() as town:
+        town.engines[0].fault("hang", on=True)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(town.ask)
+            while not town.running.front.queries:
+                await anyio.sleep(0.005)
+            refused = await town.ask()
+            assert (refused.status, refused.error["code"]) == (503, "front_full")
+            idle = [await anyio.connect_tcp("127.0.0.1", town.port) for _ in range(2)]
+            while town.running.open < 3:
+                await anyio.sleep(0.005)
+            async with await anyio.connect_tcp("127.0.0.1", town.port) as stream:
+                over = await answered(stream)
+            assert (over.status, over.error["code"]) == (503, "connections_full")
+            for stream in idle:
+                await stream.aclose()
+            town.engines[0].fault("hang", on=False)
+
+
+async def test_a_stop_takes_nothing_new_and_ends_what_it_holds(tmp_path: Path) -> None:
+    async with Town(tmp_path, ["prefill", "decode"]).open() as town:
+        answers = []
+
+        async def ask() -> None:
+            answers.append(await town.ask(out=30))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            await town.until("ran")
+            town.running.stop()
+        assert answers[0].text.split()[-1] == "t30"
+        with pytest.raises(OSError):
+            await town.ask()
+
+
+async def test_a_stop_that_cannot_wait_scraps_what_is_left(tmp_path: Path) -> None:
+    async with Town(tmp_path, ["prefill", "decode"], drain_ms=200).open() as town:
+        town.engines[1].fault("hang", on=True)
+        answers = []
+
+        async def ask() -> None:
+            answers.append(await town.ask())
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            await town.until("arrived", stage="write")
+            town.running.stop()
+        assert (answers[0].status, answers[0].error["code"]) == (424, "stopped")
+
+
+async def test_a_front_comes_back_with_its_last_list_and_shrugs_at_a_torn_one(tmp_path: Path) -> None:
+    town = Town(tmp_path, ["prefill", "decode"])
+    keep(tmp_path / "front-0.list", 7, [Entry("e9", "127.0.0.1:9", "prefill", "a", 0, "draining")])
+    async with town.open() as opened:
+        assert opened.running.front.names[0] == "e9"
+        # The service's whole list does not name it: it is gone, and the new list is on disk soon.
+        while b"e9" in (tmp_path / "front-0.list").read_bytes():
+            await anyio.sleep(0.01)
+    (tmp_path / "front-0.list").write_bytes(b"00000000\n{}")
+    async with Town(tmp_path, ["prefill", "decode"]).open() as opened:
+        assert (await opened.ask()).status == 200
+
+
+async def test_a_fault_in_the_decisions_scraps_one_query_and_spares_the_rest(tmp_path: Path) -> None:
+    async with Town(tmp_path, ["prefill", "decode"]).open() as town:
+        rules = town.running.front.desk.rules
+        sound = rules.pick_reader
+        rules.pick_reader = lambda *_: 1 // 0  # type: ignore[method-assign, assignment]
+        answer = await town.ask()
+        assert (answer.status, answer.error["type"]) == (424, "scrapped")
+        rules.pick_reader = sound  # type: ignore[method-assign]
+        assert (await town.ask()).status == 200
+        assert not town.running.front.queries
+
+
+async def test_the_same_news_brings_the_same_asks(tmp_path: Path) -> None:
+    tape = tmp_path / "front.tape"
+    async with Town(tmp_path, ["prefill", "prefill", "decode", "mixed"]).open(tape) as town:
+        town.engines[0].fault("row", row="failed_500", share=0.3)
+        town.engines[2].fault("row", row="reset_after", share=0.2)
+        async with anyio.create_task_group() as tasks:
+            for number in range(40):
+                tasks.start_soon(lambda at=number: town.ask(  # type: ignore[misc]
+                    ["ask", "book"][at % 2], out=5, runspool_mark=f"m{at}", runspool_session=f"s{at % 7}"))
+        town.running.front.tape.close()
+    found = retrace(tape)
+    assert found.differs == ""
+    assert found.news > 100
+    assert found.asks > 100
+    # And a tape that says otherwise is found out.
+    tape.write_bytes(tape.read_bytes().replace(b'"send",5,', b'"send",6,', 1))
+    assert "now" in retrace(tape).differs
+
+
+async def test_a_town_at_work_keeps_every_rule(tmp_path: Path) -> None:
+    town = Town(tmp_path, ["prefill", "prefill", "decode", "mixed"])
+    town.record.line("day", plan=msgspec.to_builtins(town.plan))
+    async with town.open():
+        async with anyio.create_task_group() as tasks:
+            for number in range(30):
+                tasks.start_soon(lambda at=number: town.ask(  # type: ignore[misc]
+                    "book", out=5, runspool_mark=f"m{at}"))
+        assert len(town.seen("ran")) == 30
+        assert all(rule.broken == 0 for rule in audit(
+            [event for event in map(msgspec.json.decode, town.file.read_bytes().splitlines())]).values())
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,113 @@
+"""Following the list: whatever order its news come in, and whatever the disk did to the last one."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from runspool.roster.following import GAP_PATIENCE, Following
+from runspool.roster.memory import Torn, keep, recall
+from runspool.wire.listing import Entry, News, read_news, write_news
+from runspool.wire import listing
+
+STATES = ["on", "draining", "gone"]
+
+
+def entry(name: str, state: str) -> Entry:
+    return Entry(name, "127.0.0.1:1", "prefill", "a", 0, state)  # type: ignore[arg-type]
+
+
+changes = st.lists(st.tuples(st.sampled_from("pqr"), st.sampled_from(STATES)), min_size=1, max_size=12)
+
+
+@settings(max_examples=300, deadline=None)
+@given(changes, st.randoms(use_true_random=False))
+def test_news_in_any_order_and_any_number_of_times_end_in_the_same_list(
+        said: list[tuple[str, str]], rng: object) -> None:
+    news = [News(at + 1, "e", engines=[entry(name, state)]) for at, (name, state) in enumerate(said)]
+    mixed = [*news, *news[::2]]
+    rng.shuffle(mixed)  # type: ignore[attr-defined]
+    following = Following()
+    following.heard(0, News(0, "e", whole=True))
+    drained: dict[str, int] = {}
+    for line in mixed:
+        for changed in following.heard(1, line):
+            # Never back to an older word than the one already taken.
+            assert line.version >= drained.get(changed.engine, -1)
+            drained[changed.engine] = line.version
+    last = {name: state for name, state in said}
+    assert {one.engine: one.state for one in following.listed()} == {
+        name: state for name, state in last.items() if state != "gone"}
+    assert (following.version, following.early, following.gap_since) == (len(said), set(), None)
+
+
+def test_a_drain_out_of_order_counts_at_once() -> None:
+    following = Following()
+    following.heard(0, News(1, "e", whole=True, engines=[entry("p", "on")]))
+    assert following.heard(5, News(3, "e", engines=[entry("p", "draining")]))[0].state == "draining"
+    assert following.heard(6, News(2, "e", engines=[entry("p", "on")])) == []
+
+
+def test_a_gap_that_does_not_close_asks_for_the_whole_list() -> None:
+    following = Following()
+    following.heard(0, News(1, "e", whole=True))
+    following.heard(10, News(3, "e", engines=[entry("p", "on")]))
+    assert not following.wants_whole(10 + GAP_PATIENCE - 1)
+    assert following.wants_whole(10 + GAP_PATIENCE)
+    following.heard(10 + GAP_PATIENCE, News(3, "e", whole=True, engines=[entry("p", "on")]))
+    assert not following.wants_whole(10 + 3 * GAP_PATIENCE)
+
+
+def test_a_beat_shows_what_was_missed() -> None:
+    following = Following()
+    following.heard(0, News(1, "e", whole=True))
+    following.heard(5, News(1, "e", beat=True))
+    assert following.gap_since is None
+    following.heard(6, News(2, "e", beat=True))
+    assert following.wants_whole(6 + GAP_PATIENCE)
+
+
+def test_a_whole_list_lets_go_of_those_it_does_not_name() -> None:
+    following = Following()
+    following.recalled([entry("old", "on"), entry("p", "on")])
+    changed = following.heard(0, News(4, "e", whole=True, engines=[entry("p", "on")]))
+    assert [(one.engine, one.state) for one in changed] == [("old", "gone")]
+    assert following.heard(1, News(3, "e", whole=True)) == []  # an older list says nothing
+
+
+def test_a_service_that_lost_its_numbers_is_believed_only_with_a_whole_list() -> None:
+    following = Following()
+    following.heard(0, News(90, "e", whole=True, engines=[entry("p", "on")]))
+    assert following.heard(1, News(2, "f", engines=[entry("p", "draining")])) == []
+    assert following.heard(2, News(2, "f", whole=True, engines=[entry("p", "draining")]))
+    assert following.version == 2
+
+
+@pytest.mark.parametrize("line", [
+    b"", b"{", b'{"version": -1}', b'{"version": 1, "engines": [{"engine": "p"}]}', b"\xff\xfe",
+    write_news(News(1, engines=[entry("p", "on")]))[:-20],
+    write_news(News(1, engines=[Entry("p", "nowhere", "prefill", "a", 0, "on")])),
+])
+def test_a_torn_line_is_no_news(line: bytes) -> None:
+    with pytest.raises(listing.Torn):
+        read_news(line)
+
+
+def test_a_last_list_is_whole_or_nothing(tmp_path: Path) -> None:
+    file = tmp_path / "last"
+    assert recall(file) is None
+    keep(file, 5, [entry("p", "draining")])
+    found = recall(file)
+    assert found is not None
+    assert (found.version, found.engines) == (5, [entry("p", "draining")])
+    raw = file.read_bytes()
+    for length in range(len(raw)):
+        file.write_bytes(raw[:length])
+        with pytest.raises(Torn):
+            recall(file)
+    for at in range(len(raw)):
+        file.write_bytes(raw[:at] + bytes([raw[at] ^ 1]) + raw[at + 1:])
+        with pytest.raises(Torn):
+            recall(file)
--- /dev/null
+++ b/tests/test_terms.py
@@ -0,0 +1,74 @@
+"""Terms: what a template may say, and how its faults are told."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from runspool.decisions.interface import Effect, Role
+from runspool.terms import Unreadable, read_terms, terms_of
+
+HOUSE = Path(__file__).parents[1] / "examples" / "house.jsonnet"
+
+
+def said() -> dict[str, Any]:
+    return read_terms(HOUSE).model_dump()
+
+
+def test_a_template_becomes_house_terms_in_tenths_of_a_millisecond() -> None:
+    terms = read_terms(HOUSE)
+    house = terms.house_terms()
+    names = list(terms.house.tariffs)
+    row = house.tariffs[names.index("payout-close")]
+    assert (row.due, row.due_per_1000, row.pace, row.effect) == (30_000, 1_200, 800, Effect.EXCLUSIVE)
+    assert house.release_within == 3_000
+    assert {kind.role for kind in house.kinds} == set(Role)
+    assert not house.resumes
+
+
+def test_every_fault_is_told_at_once_with_path_value_and_what_is_allowed() -> None:
+    found = said()
+    found["house"]["tariffs"]["staff-ask"]["due_ms"] = -1
+    found["house"]["tariffs"]["payout-close"]["effect"] = "sometimes"
+    found["house"]["kinds"] = {}
+    found["front"]["listen"]["port"] = "80"
+    found["front"]["bounds"]["querries"] = 5
+    del found["front"]["list"]["quiet_ms"]
+    with pytest.raises(Unreadable) as told:
+        terms_of(found)
+    paths = {fault.path: fault for fault in told.value.faults}
+    assert set(paths) == {
+        "house.tariffs.staff-ask.due_ms", "house.tariffs.payout-close.effect", "house.kinds",
+        "front.listen.port", "front.bounds.querries", "front.list.quiet_ms"}
+    assert paths["front.bounds.querries"].allowed == "no such field"
+    assert paths["house.tariffs.staff-ask.due_ms"].value == "-1"
+    assert "'ticketed'" in paths["house.tariffs.payout-close.effect"].allowed
+
+
+@pytest.mark.parametrize(("change", "named"), [
+    ({"zone": "nowhere"}, "front.zone"),
+    ({"number": 5}, "front.number"),
+    ({"default_tariff": "none"}, "front.default_tariff"),
+])
+def test_a_front_must_fit_its_house(change: dict[str, Any], named: str) -> None:
+    found = said()
+    found["front"] |= change
+    with pytest.raises(Unreadable, match=named):
+        terms_of(found)
+
+
+def test_a_template_that_does_not_evaluate_names_file_and_line(tmp_path: Path) -> None:
+    broken = tmp_path / "broken.jsonnet"
+    broken.write_text("local a = 1;\n{ house: a + nothing }\n")
+    with pytest.raises(Unreadable, match=r"broken\.jsonnet:2"):
+        read_terms(broken)
+    with pytest.raises(Unreadable):
+        read_terms(tmp_path / "absent.jsonnet")
+
+
+def test_external_variables_reach_the_template(tmp_path: Path) -> None:
+    file = tmp_path / "port.jsonnet"
+    file.write_text(f"(import '{HOUSE}') + {{ front+: {{ number: 0, name: std.extVar('name') }} }}")
+    assert read_terms(file, {"name": "front-z"}).front.name == "front-z"
