--- a/runspool/lab/crowd.py
+++ b/runspool/lab/crowd.py
@@ -83,7 +83,8 @@
     found = []
     for turn in range(int(row.turns) + (rng.random() < row.turns - int(row.turns))):
         new = _tokens(rng, row.new_tokens)
-        heavy = next((one for one in by["heavy_tail"] if _during(one, at) and rng.random() < one.extra), None)
+        heavy = next((one for one in by["heavy_tail"] if _during(one, at)
+                      and one.which == tariff and rng.random() < one.extra), None)
         if heavy is not None:
             new = int(new * heavy.size)
         new = min(new, MOST_PROMPT - sum(size for _, size in parts))
--- a/runspool/lab/model.py
+++ b/runspool/lab/model.py
@@ -155,7 +155,7 @@
         stream = [job for job in self.active if job.phase is Phase.STREAMING]
         room, read = CHUNK, []
         for job in self.active:
-            if job.phase is Phase.READING and room > 0:
+            if job.phase is Phase.READING and job.to_read > 0 and room > 0:
                 part = min(room, job.to_read)
                 read.append((job, part))
                 room -= part
--- a/runspool/lab/plan.py
+++ b/runspool/lab/plan.py
@@ -165,28 +165,34 @@
     def at() -> int:
         return busy + int(rng.random() * span)
 
+    storm = busy + int(rng.random() * (span - 6 * SECOND))
+
+    def at_once() -> int:
+        """Within the five seconds after which all that last eight are there together."""
+        return storm + int(rng.random() * 5 * SECOND)
+
     troubles = [
         Trouble("crash", at(), 8 * SECOND, on=[writers[0]]),
         Trouble("front_kill", at(), 2 * SECOND, on=[rng.randrange(3)]),
-        Trouble("front_kill", at(), 3 * SECOND, on=[rng.randrange(3)]),
+        Trouble("front_kill", at_once(), 3 * SECOND, on=[rng.randrange(3)]),
         Trouble("hang", at(), 4 * SECOND, on=[readers[0]]),
         Trouble("pause", at(), SECOND, on=[mixed[0]]),
-        Trouble("slow", at(), 10 * SECOND, size=rng.uniform(2, 5), on=[readers[1]]),
+        Trouble("slow", at_once(), 10 * SECOND, size=rng.uniform(2, 5), on=[readers[1]]),
         Trouble("drain", at(), 5 * SECOND, on=[mixed[1]]),
         Trouble("drain", at(), 5 * SECOND, on=[readers[2]]),
         Trouble("restart", at(), SECOND, on=[readers[3]]),
-        Trouble("errors", at(), 8 * SECOND, size=0.2, on=[writers[1], mixed[2]]),
-        Trouble("resets", at(), 8 * SECOND, size=0.1, on=[writers[2], readers[1]]),
-        Trouble("list_noise", at(), 10 * SECOND),
+        Trouble("errors", at_once(), 8 * SECOND, size=0.2, on=[writers[1], mixed[2]]),
+        Trouble("resets", at_once(), 8 * SECOND, size=0.1, on=[writers[2], readers[1]]),
+        Trouble("list_noise", at_once(), 10 * SECOND),
         Trouble("discovery_stale", at(), 8 * SECOND, size=3 * SECOND),
-        Trouble("origin_slow", at(), 8 * SECOND, size=rng.uniform(2, 6)),
+        Trouble("origin_slow", at_once(), 8 * SECOND, size=rng.uniform(2, 6)),
         Trouble("flush", at(), 0, size=0.8),
         Trouble("burst", at(), 4 * SECOND, size=1.5),
         Trouble("heavy_tail", at(), 8 * SECOND, size=10, extra=0.03),
-        Trouble("hot_key", at(), 8 * SECOND, size=0.15),
-        Trouble("retry_abuse", at(), 8 * SECOND, size=4, extra=0.4, which=rng.randrange(3)),
-        Trouble("throttle", at(), 8 * SECOND, size=0.2, extra=0.2, on=[writers[1], readers[4]], how="tenant",
-                which=rng.randrange(3)),
+        Trouble("hot_key", at_once(), 8 * SECOND, size=0.15),
+        Trouble("retry_abuse", at_once(), 8 * SECOND, size=4, extra=0.4, which=rng.randrange(3)),
+        Trouble("throttle", at_once(), 8 * SECOND, size=0.2, extra=0.2, on=[writers[1], readers[4]],
+                how="tenant", which=rng.randrange(3)),
         Trouble("class_fail", at(), 8 * SECOND, size=1.0, on=[mixed[2]], how="silence", which=0),
         Trouble("leaving", at(), 8 * SECOND, size=0.1),
     ]
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,123 @@
+"""Small parts: budgets of time, the vigil, timers, events cut anywhere, command line."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import anyio
+import msgspec
+import pytest
+from hypothesis import given, strategies as st
+from typer.testing import CliRunner
+
+from runspool.cli.lab import app as lab
+from runspool.cli.main import app
+from runspool.decisions.interface import Effect, Group, TariffTerms
+from runspool.engines.replies import BadReply, Reply
+from runspool.engines.vigil import Vigil
+from runspool.service.budget import first_token_budget
+from runspool.service.clock import now
+from runspool.service.timers import Timers
+from runspool.wire import completions, engine
+
+ROW = TariffTerms(10_000, 0, 600, 1.0, 0.1, Effect.RERUNNABLE, Group.ALL, 0)
+
+
+def test_a_whole_answer_leaves_time_for_its_writing() -> None:
+    assert first_token_budget(60_000, False, 50, ROW) == 60_000
+    assert first_token_budget(60_000, True, 50, ROW) == 30_000
+    assert first_token_budget(60_000, True, 0, ROW) == 60_000
+    assert first_token_budget(60_000, True, 10_000, ROW) == 15_000  # a hint too long leaves time to try
+    assert first_token_budget(-5, True, 50, ROW) == first_token_budget(-5, False, 0, ROW) == 0
+
+
+def test_the_vigil_calls_once_for_what_has_waited_too_long_and_for_nothing_else() -> None:
+    time, called = 1_000, []
+    vigil = Vigil(lambda: time)
+    late, idle, quick, gone = (vigil.watch(500, lambda name=name: called.append(name))  # type: ignore[misc]
+                               for name in ("late", "idle", "quick", "gone"))
+    late.since = gone.since = 1_000
+    vigil.forget(gone)
+    time = 1_600
+    quick.since = 1_500
+    vigil.look()
+    vigil.look()
+    assert (called, late.ran_out, idle.ran_out) == (["late"], True, False)
+
+
+@pytest.mark.anyio
+async def test_timers_ring_in_order_also_those_set_sooner_later() -> None:
+    rung: list[str] = []
+    all_rung = anyio.Event()
+
+    def ring(token: str) -> None:
+        rung.append(token)
+        if len(rung) == 3:
+            all_rung.set()
+
+    timers = Timers(ring)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(timers.run)
+        timers.at(now() + 600, "third")
+        await anyio.sleep(0)
+        timers.at(now() + 100, "first")
+        timers.at(now() + 300, "second")
+        with anyio.fail_after(10):
+            await all_rung.wait()
+        tasks.cancel_scope.cancel()
+    assert rung == ["first", "second", "third"]
+
+
+@given(st.lists(st.text(max_size=20), max_size=6), st.lists(st.integers(1, 40), min_size=1, max_size=30))
+def test_events_come_out_whole_however_the_bytes_were_cut(texts: list[str], cuts: list[int]) -> None:
+    chunks = completions.Chunks("q", "m", 0)
+    body = b"".join(chunks.text(text) for text in texts) + b"0\r\n\r\n"
+    raw = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX: y\r\n\r\n" + body
+    reply, events, found = Reply(65536), engine.Events(65536), []
+    at = turn = 0
+    while at < len(raw):
+        size = cuts[turn % len(cuts)]
+        reply.feed(raw[at: at + size])
+        found += events.feed(reply.take())
+        at, turn = at + size, turn + 1
+    assert reply.complete and reply.status == 200 and reply.headers["x"] == "y"
+    assert [engine.answer(event).choices[0].text for event in found] == texts
+
+
+def test_bytes_past_the_end_of_an_answer_are_no_second_answer() -> None:
+    reply = Reply(65536)
+    reply.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    with pytest.raises(BadReply):
+        reply.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+
+@given(st.binary(max_size=200))
+def test_no_bytes_make_a_load_report_or_an_error_code_raise(raw: bytes) -> None:
+    engine.load_report("JSON " + raw.decode("latin-1"))
+    assert isinstance(engine.error_code(raw), str)
+
+
+def test_a_load_report_in_the_published_form_is_read() -> None:
+    said = msgspec.json.encode({"named_metrics": {"kv_cache_usage_perc": 0.25, "prompt_tokens_waiting": 800}})
+    report = engine.load_report("JSON " + said.decode())
+    assert report is not None
+    assert (report.memory, report.to_read, report.slots) == (0.25, 800, None)
+    assert engine.load_report(None) is engine.load_report("TEXT a=1") is None
+
+
+def test_the_command_line_says_what_is_wrong_and_exits_so(tmp_path: Path) -> None:
+    runner = CliRunner()
+    house = str(Path(__file__).parents[1] / "examples" / "house.jsonnet")
+    assert runner.invoke(app, ["terms", "check", house]).exit_code == 0
+    shown = runner.invoke(app, ["terms", "show", house])
+    assert msgspec.json.decode(shown.stdout)["front"]["name"] == "front-a"
+    bad = tmp_path / "bad.jsonnet"
+    bad.write_text("{ house: 1 }")
+    told = runner.invoke(app, ["terms", "check", str(bad)])
+    assert (told.exit_code, "house" in told.output, "front" in told.output) == (2, True, True)
+    assert runner.invoke(app, ["front", str(bad)]).exit_code == 2
+    assert runner.invoke(app, ["terms", "check", house, "--var", "x"]).exit_code == 2
+    assert runner.invoke(lab, ["day", "no-such-day"]).exit_code == 2
+    assert runner.invoke(lab, ["audit", str(tmp_path)]).exit_code == 2
+    assert runner.invoke(lab, ["replay", str(bad)]).exit_code == 2
+    assert runner.invoke(lab, ["retrace", str(tmp_path / "none")]).exit_code == 2
