--- a/runspool/cli/lab.py
+++ b/runspool/cli/lab.py
@@ -80,7 +80,8 @@
             found = retracing.retrace(tape)
         except (OSError, retracing.Unplayable) as fault:
             _fail(str(fault))
-        typer.echo(found.differs or f"{tape}: {found.news} news, {found.asks} asks, all the same")
+        same = f"{tape}: {found.news} news, {found.asks} asks, all the same"
+        typer.echo(found.differs or (same if found.news else f"{tape}: nothing on it, nothing shown"))
         differs = differs or bool(found.differs)
     raise typer.Exit(BROKEN if differs else 0)
 
