A verdict sorts its recording once; an unused counter and parameter go

Found on reading the change again: verdict() built the history of a recording and audit() built it anew. judge() now takes the one that is there.

--- a/runspool/cells/placing.py
+++ b/runspool/cells/placing.py
@@ -80,7 +80,7 @@
     for role in ROLES:
         there = [one for one in engines if one.role is role]
         # Mixed engines stand in for a role that the pure ones cannot fill, so cells short of one come first.
-        quotas = _quotas(chart, len(there), _short(chart, cells, engines) if role is Role.MIXED else set())
+        quotas = _quotas(chart, len(there), _short(cells, engines) if role is Role.MIXED else set())
         zones = len({one.zone for one in there}) or 1
         pairs = sorted(((affinity(one.name, name, chart.cells[name].weight), one.name, name, one.zone)
                         for one in there for name in cells if quotas[name]), reverse=True)
@@ -118,7 +118,7 @@
     return quotas
 
 
-def _short(chart: CellMap, cells: dict[str, set[str]], engines: list[Place]) -> set[str]:
+def _short(cells: dict[str, set[str]], engines: list[Place]) -> set[str]:
     roles = {one.name: one.role for one in engines}
     short = set()
     for name, there in cells.items():
--- a/runspool/lab/audit.py
+++ b/runspool/lab/audit.py
@@ -155,7 +155,11 @@
 
 def audit(events: list[Event]) -> dict[str, Judged]:
     """Judges all five rules; raises Unreadable on a recording that cannot be judged."""
-    found = history(events)
+    return judge(history(events))
+
+
+def judge(found: History) -> dict[str, Judged]:
+    """Judges all five rules of a recording that has been sorted already."""
     _close_killed(found)
     return dict(zip(RULES, (_lost(found), _twice(found), _drains(found), _pushed(found), _pinned(found)),
                     strict=True))
--- a/runspool/lab/engine.py
+++ b/runspool/lab/engine.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import os
-from collections import Counter
 from dataclasses import dataclass, field
 from functools import partial
 from random import Random
@@ -102,7 +101,6 @@
         self.host = "127.0.0.1"
         self.token = "t"
         self.buckets: dict[str, tuple[float, int]] = {}
-        self.seen: Counter[str] = Counter()
         self.tasks: TaskGroup | None = None
 
     async def run(self, host: str, port: int, *,
--- a/runspool/lab/verdict.py
+++ b/runspool/lab/verdict.py
@@ -10,7 +10,7 @@
 from hdrh.histogram import HdrHistogram
 from jinja2 import Environment, PackageLoader, StrictUndefined
 
-from runspool.lab.audit import History, Judged, TrySeen, audit, history
+from runspool.lab.audit import History, Judged, TrySeen, history, judge
 from runspool.lab.plan import Plan
 from runspool.lab.recording import Event
 
@@ -20,7 +20,7 @@
 def verdict(events: list[Event]) -> dict[str, Any]:
     """Judges a recording. Times in milliseconds; gains as shares of what was asked. Raises Unreadable."""
     found = history(events)
-    rules = audit(events)
+    rules = judge(found)
     gain = _gain(found)
     troubles = [{"kind": event["kind"], "at_ms": event["t"] / 10} for event in events
                 if event["what"] == "trouble"]
