Names unseen for ten minutes are forgotten; 500 texts an engine instead of 3000

Memory at 40 queries a second still rose by 0.1 MiB a minute after 22 minutes: names of sessions, kept up to 200,000, and what engines are thought to keep, up to 3000 texts each, far more than their memory holds.

--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -54,7 +54,8 @@
 PRICE_LOAD = 12.0  # shares of load that it counts for
 WAIT_LOAD = SECOND  # wait at a writer or for a rack's link that counts as a full load
 ZONE_LINK = 2.5  # times a move to another zone weighs beside one to another rack
-KEPT_TEXTS = 3000
+KEPT_TEXTS = 500  # an engine; what an engine read that many texts ago it has given up
+FIRSTS = 3000  # first tries remembered
 READ_WEIGHT = 3  # times a read's own time that its tokens count for in the pick
 HOMES = 3.0  # readers' fair parts that a popular beginning is spread over
 MARKS = 0xFFFFFFFF
@@ -453,7 +454,7 @@
         """Against taking a client's later try for a new query: its due time has run since the first."""
         first = self.firsts.pop((q.session, q.prompt), self.now) if q.session is not None else self.now
         self.firsts[q.session, q.prompt] = first  # marked as a retry or not
-        if len(self.firsts) > KEPT_TEXTS:
+        if len(self.firsts) > FIRSTS:
             del self.firsts[next(iter(self.firsts))]
         return first
 
--- a/runspool/front/door.py
+++ b/runspool/front/door.py
@@ -12,22 +12,30 @@
 
 
 class Door:
-    """Hands out an index a name; with a bound, the name unseen for longest is forgotten first."""
+    """Hands out an index a name. A name unseen for `keeps` (in the unit of index()'s time) is forgotten, and
+    past `bound` names the one unseen for longest; 0 sets no bound."""
 
-    def __init__(self, bound: int = 0) -> None:
+    def __init__(self, bound: int = 0, keeps: int = 0) -> None:
         self._bound = bound
+        self._keeps = keeps
         self._next = 0
-        self._indices: dict[str, int] = {}
+        self._indices: dict[str, tuple[int, int]] = {}  # index and when seen, the longest unseen first
 
-    def index(self, name: str) -> int:
-        found = self._indices.pop(name, None)
+    def index(self, name: str, now: int = 0) -> int:
+        found, _ = self._indices.pop(name, (None, 0))
         if found is None:
             found = self._next
             self._next += 1
-            if self._bound and len(self._indices) >= self._bound:
+            while self._indices and ((self._bound and len(self._indices) >= self._bound) or self._aged(now)):
                 del self._indices[next(iter(self._indices))]
-        self._indices[name] = found
+        self._indices[name] = found, now
         return found
 
     def known(self, name: str) -> int | None:
-        return self._indices.get(name)
+        return self._indices.get(name, (None, 0))[0]
+
+    def __len__(self) -> int:
+        return len(self._indices)
+
+    def _aged(self, now: int) -> bool:
+        return 0 < self._keeps < now - next(iter(self._indices.values()))[1]
--- a/runspool/service/front.py
+++ b/runspool/service/front.py
@@ -28,7 +28,8 @@
 from runspool.wire.completions import Wish
 from runspool.wire.listing import Entry, address_of
 
-SESSIONS_KNOWN = 200_000  # names remembered before the one unseen for longest is forgotten
+NAMES_KNOWN = 200_000  # texts' names remembered before the one unseen for longest is forgotten
+NAME_KEPT = 6_000_000  # tenths of a millisecond: a text unseen for so long is kept by no engine any more
 RELEASE_LIMIT = 5_000
 GUARD = "guard."
 
@@ -55,7 +56,7 @@
         self.zones = {name: at for at, name in enumerate(terms.house.zones)}
         self.wall_at_zero = unix_ms_at_zero()
         self.engine_door = Door()
-        self.text_door = Door(SESSIONS_KNOWN)
+        self.text_door = Door(NAMES_KNOWN, NAME_KEPT)
         self.addresses: list[Address] = []
         self.names: list[str] = []
         self.roles: list[Role] = []
@@ -92,8 +93,8 @@
             index=index,
             tariff=self.tariffs[wish.tariff],
             tenant=None if wish.tenant is None else self.tenants[wish.tenant],
-            session=None if wish.session is None else self.text_door.index("s" + wish.session),
-            beginning=None if wish.beginning is None else self.text_door.index("b" + wish.beginning),
+            session=None if wish.session is None else self.text_door.index("s" + wish.session, at),
+            beginning=None if wish.beginning is None else self.text_door.index("b" + wish.beginning, at),
             prompt=wish.prompt,
             beginning_length=wish.beginning_length,
             most_out=wish.most_out,
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -14,11 +14,13 @@
 from runspool.cli.main import app
 from runspool.decisions.interface import Effect, Group, TariffTerms
 from runspool.engines.replies import BadReply, Reply
+from runspool.front.door import Door
 from runspool.engines.vigil import Vigil
 from runspool.service.budget import first_token_budget
 from runspool.service.clock import now
 from runspool.service.timers import Timers
 from runspool.wire import completions, engine
+from runspool.wire.requests import BadRequest, Requests
 
 ROW = TariffTerms(10_000, 0, 600, 1.0, 0.1, Effect.RERUNNABLE, Group.ALL, 0)
 
@@ -121,3 +123,44 @@
     assert runner.invoke(lab, ["audit", str(tmp_path)]).exit_code == 2
     assert runner.invoke(lab, ["replay", str(bad)]).exit_code == 2
     assert runner.invoke(lab, ["retrace", str(tmp_path / "none")]).exit_code == 2
+
+
+def test_a_name_is_forgotten_when_unseen_for_long_or_past_the_bound() -> None:
+    door = Door(bound=3, keeps=100)
+    first, second = door.index("a", 0), door.index("b", 60)
+    assert door.index("a", 90) == first  # seen again, so b is now the one unseen for longest
+    assert door.index("c", 161) not in (first, second) and len(door) == 2
+    assert door.known("b") is None and door.known("a") == first
+    for at, name in enumerate("defg"):
+        door.index(name, 162 + at)
+    assert len(door) == 3 and door.known("a") is None
+
+
+def test_pipelined_requests_ahead_of_a_fault_are_served_and_none_after_it() -> None:
+    good = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+    for bad, status in ((b"NONSENSE\r\n\r\n", 400), (b"GET / HTTP/1.1\r\n\r\n", 400),
+                        (b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99\r\n\r\n", 413)):
+        reading = Requests(1000, 10)
+        reading.feed(good + good + bad + good)
+        assert [one.complete for one in reading.ready] == [True, True]
+        reading.put_off()  # nothing yet: two are to be served first
+        reading.ready.clear()
+        with pytest.raises(BadRequest) as told:
+            reading.put_off()
+        assert told.value.status == status
+
+
+@given(st.lists(st.integers(1, 40), max_size=30))
+def test_requests_come_out_whole_however_the_bytes_were_cut(cuts: list[int]) -> None:
+    raw = (b"POST /v1/completions?x=1 HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\n"
+           b"Content-Length: 4\r\n\r\nabcd"
+           b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+    reading = Requests(1000, 10)
+    for cut in cuts:
+        reading.feed(raw[:cut])
+        raw = raw[cut:]
+    if raw:
+        reading.feed(raw)
+    first, second = reading.ready
+    assert (first.path, bytes(first.body), first.complete) == ("/v1/completions", b"abcd", True)
+    assert (second.path, second.complete, second.keeps_alive) == ("/healthz", True, True)
