Fronts doctored to break each rule are found out by the auditor

Ten sabotaged programs, each beside the sound front in the same trouble: an exclusive query repeated, a ticket outside its group, two shots at once, no answer, a late one, words after the end, a lost token, a drain not heard, states kept, a cold engine flooded.

--- a/runspool/lab/engine.py
+++ b/runspool/lab/engine.py
@@ -123,6 +123,10 @@
                 task_status.started(self.port)
                 await one.serve(self._client, tasks)
 
+    def fall(self) -> None:
+        """An engine pushed over takes its process with it."""
+        os._exit(3)
+
     def fault(self, name: str, **said: Any) -> None:
         """Plays a fault; raises ValueError on one it does not know."""
         self.record.line("fault", engine=self.make.name, fault=name, **said)
@@ -318,8 +322,8 @@
         verdict = self.model.offer(now(), job)
         if verdict is Verdict.FELL:
             self.record.line("fell", engine=self.make.name)
-            os._exit(3)
-        if verdict is Verdict.FULL:
+            self.fall()
+        if verdict is not Verdict.TAKEN:
             await asked.answer(503, error_body("overloaded", "full", "no slot, no place"), self._report())
             return "full"
         self.live[id(job)] = live
--- /dev/null
+++ b/tests/test_doctored.py
@@ -0,0 +1,205 @@
+"""Fronts doctored to break a rule are found out; in the same trouble the sound front breaks none."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
+from pathlib import Path
+from time import time
+from typing import Any
+
+import anyio
+import msgspec
+import pytest
+
+from runspool.decisions.interface import Ending, Listed
+from runspool.decisions.rules import Rules
+from runspool.engines import ENDINGS, Mishap
+from runspool.lab import recording
+from runspool.lab.audit import RULES, audit
+from runspool.lab.clients import Clients, Entry
+from runspool.lab.crowd import Item
+from runspool.lab.engine import Engine
+from runspool.service.clock import now
+from runspool.service.conversation import Conversation, _Streamed
+from runspool.service.front import Front, _Hearing
+from runspool.sockets.lines import Gone
+from runspool.wire import completions as wire
+from runspool.wire.listing import Entry as Line
+from tests.town import Town
+
+pytestmark = pytest.mark.anyio
+LOST, TWICE, DRAINS, COLD, PINNED = RULES
+ASK, BOOK, MARK = range(3)
+Doctor = Callable[[pytest.MonkeyPatch], None]
+Trouble = Callable[[Town], Coroutine[Any, Any, None]]
+
+
+def items(count: int, tariff: int = ASK, gap: int = 50, limit: int = 20_000, out: int = 6) -> list[Item]:
+    return [Item(f"i{at}", at * gap, 0, tariff, 0, f"s{at}", [(f"text{at}", 50)], "", 0, 50, out, True,
+                 limit, limit, 0, 0) for at in range(count)]
+
+
+async def nothing(town: Town) -> None:
+    return
+
+
+# What goes wrong around the front.
+
+async def resets(town: Town) -> None:
+    for one in town.engines:
+        if one.make.role == "writer":
+            one.fault("row", row="reset_after", share=0.7)
+
+
+async def full_writers(town: Town) -> None:
+    for one in town.engines:
+        if one.make.role == "writer":
+            one.fault("row", row="full_503", share=1.0)
+
+
+async def drained(town: Town) -> None:
+    await town.until("ran", 5)
+    town.tell(0, "draining")
+    with anyio.fail_after(10):
+        while not any(name == "e0" and state == "draining" for event in town.seen("told")
+                      for name, state, _ in event["engines"]):
+            await anyio.sleep(0.01)
+
+
+# How a front is doctored.
+
+def forgets_that_it_may_have_run(patch: pytest.MonkeyPatch) -> None:
+    for mishap in (Mishap.CUT_AFTER_LAST_BYTE, Mishap.CUT_IN_ANSWER, Mishap.FAILED):
+        patch.setitem(ENDINGS, mishap, Ending.UNREACHABLE)
+
+
+def sends_each_shot_twice(patch: pytest.MonkeyPatch) -> None:
+    sound = Front.send
+
+    def send(front: Front, query: int, engine: int, cap: int) -> None:
+        taken = front.queries[query]
+        second = taken.headers | {"X-Request-Id": f"{taken.id}.again"}
+        if taken.shots:
+            front._spawn(_listenless, front, taken.wish.body, second, front.addresses[engine],
+                         taken.state)
+        sound(front, query, engine, cap)
+
+    patch.setattr(Front, "send", send)
+
+
+async def _listenless(front: Front, body: Any, headers: dict[str, str], address: tuple[str, int],
+                      state: Any) -> None:
+    class Deaf:
+        async def begun(self) -> None:
+            return
+
+        async def said(self, text: str) -> None:
+            return
+
+    await front.caller.write(address, body, state, headers, 20_000, 1000, Deaf())
+
+
+def gives_no_answer(patch: pytest.MonkeyPatch) -> None:
+    async def answer(one: Conversation, *said: Any) -> None:
+        raise Gone("swallowed")
+
+    patch.setattr(Conversation, "_answer", answer)
+
+
+def answers_late(patch: pytest.MonkeyPatch) -> None:
+    sound = Conversation._answer
+
+    async def answer(one: Conversation, taken: Any, reply: Any, final: Any) -> None:
+        await anyio.sleep(max(0, taken.limit + 1_000 - now()) / 10_000)
+        await sound(one, taken, reply, final)
+
+    patch.setattr(Conversation, "_answer", answer)
+
+
+def speaks_after_the_end(patch: pytest.MonkeyPatch) -> None:
+    sound = _Streamed.finish
+
+    async def finish(one: _Streamed, final: Any) -> None:
+        await sound(one, final)
+        one.conversation.line.write(wire.DONE)
+
+    patch.setattr(_Streamed, "finish", finish)
+
+
+def loses_a_token(patch: pytest.MonkeyPatch) -> None:
+    sound = _Hearing.said
+
+    async def said(one: _Hearing, text: str) -> None:
+        if "t3" not in text:
+            await sound(one, text)
+
+    patch.setattr(_Hearing, "said", said)
+
+
+def does_not_hear_of_drains(patch: pytest.MonkeyPatch) -> None:
+    sound = Front._listed
+
+    def listed(front: Front, entry: Line) -> Listed | None:
+        return sound(front, msgspec.structs.replace(entry, state="on"))
+
+    patch.setattr(Front, "_listed", listed)
+
+
+def lets_no_state_go(patch: pytest.MonkeyPatch) -> None:
+    def release(front: Front, query: int) -> None:
+        front.queries[query].state = None
+
+    patch.setattr(Front, "release", release)
+
+
+def takes_cold_for_warm(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Rules, "bears", lambda *said: True)
+
+
+KINDS = ["prefill", "prefill", "decode", "decode"]
+CASES: dict[str, tuple[Doctor, str, Trouble, list[Item], dict[str, Any]]] = {
+    "exclusive twice": (forgets_that_it_may_have_run, TWICE, resets, items(8, BOOK), {}),
+    "ticket outside its group": (forgets_that_it_may_have_run, TWICE, resets, items(12, MARK), {}),
+    "two shots at once": (sends_each_shot_twice, TWICE, nothing, items(6, out=60), {}),
+    "no answer": (gives_no_answer, LOST, nothing, items(4, limit=8_000), {}),
+    "late answer": (answers_late, LOST, full_writers, items(4, limit=6_000), {}),
+    "speaks after the end": (speaks_after_the_end, LOST, nothing, items(4), {}),
+    "loses a token": (loses_a_token, LOST, nothing, items(4), {}),
+    "sends after a drain": (does_not_hear_of_drains, DRAINS, drained, items(50, gap=300),
+                            {"drain_grace": 500}),
+    "keeps states": (lets_no_state_go, PINNED, full_writers, items(6, limit=30_000),
+                     {"release_within": 4_000}),
+    "floods a cold engine": (takes_cold_for_warm, COLD, nothing, items(60, gap=100),
+                             {"cold": 0, "fall_multiple": 0.5}),
+}
+
+
+@pytest.mark.parametrize("doctored", [False, True], ids=["sound", "doctored"])
+@pytest.mark.parametrize("case", CASES)
+async def test_a_doctored_front_is_found_out(case: str, doctored: bool, tmp_path: Path,
+                                             monkeypatch: pytest.MonkeyPatch) -> None:
+    doctor, rule, trouble, asked, said = CASES[case]
+    if doctored:
+        doctor(monkeypatch)
+    monkeypatch.setattr(Engine, "fall", lambda engine: None)  # one that falls goes on, noted
+    town = Town(tmp_path, KINDS)
+    for at, one in enumerate(town.plan.engines):
+        one.make = replace(one.make, zone="ab"[at % 2],
+                           fall_multiple=said.get("fall_multiple", one.make.fall_multiple))
+        town.engines[at] = Engine(one.make, town.record, at == said.get("cold"), at)
+        town.started[at] = int(time() * 1000) if at == said.get("cold") else 0
+    for name in said.keys() - {"cold"}:
+        setattr(town.plan, name, said[name])
+    town.record.line("day", plan=msgspec.to_builtins(town.plan))
+    async with town.open(), anyio.create_task_group() as tasks:
+        tasks.start_soon(trouble, town)
+        clients = Clients(town.plan, Entry([("127.0.0.1", town.port)], ["a"], [True]), town.record)
+        with anyio.fail_after(30):
+            await clients.run(asked, now())
+            while town.running.front.queries:
+                await anyio.sleep(0.01)
+    found = audit(list(recording.read(town.file)))
+    broken = {name: judged.broken for name, judged in found.items() if judged.broken}
+    assert found[rule].cases
+    assert (broken.get(rule, 0) > 0) if doctored else not broken, [one.examples for one in found.values()]
--- a/tests/town.py
+++ b/tests/town.py
@@ -74,6 +74,7 @@
         self.record = Recorder(self.file)
         self.listing = Listing(self.record, 0)
         self.engines = [Engine(one.make, self.record, False, at) for at, one in enumerate(self.plan.engines)]
+        self.started = [0] * len(self.engines)  # Unix milliseconds, 0 for long ago
         self.bounds = bounds
         self.running: Running
         self.port = 0
@@ -100,7 +101,7 @@
         one = self.plan.engines[at]
         self.listing.set(msgspec.convert({
             "engine": one.make.name, "address": one.address, "kind": one.kind, "zone": one.make.zone,
-            "rack": one.make.rack, "state": state}, Entry), at_once=True)
+            "rack": one.make.rack, "state": state, "started_unix_ms": self.started[at]}, Entry), at_once=True)
 
     async def ask(self, tariff: str = "ask", tokens: int = 50, out: int = 10, stream: bool = True,
                   body: bytes | None = None, **headers: str) -> Answered:
