Cells in the running front: a desk a cell, live map, budgets, overflow, poison, commands

cells/keeping.py puts map, moves and rulings together for one front, free of I/O; service/quarter.py gives each cell a desk of its own, so what one cell's trouble teaches is not held against another's. The map is a checked file with a move log (cells/book.py), watched and remembered before it counts. runspool cells adopt, show, plan, move, undo, finish, watch. An engine that is down since a query was there counts against the query; a reset by one that lives does not. Overflow hears of cells with 1.4 queries a second (before 5.5: a slow cell never overflowed). The lab plays floods, full cells, moves with skewed maps.

--- a/runspool/cells/moving.py
+++ b/runspool/cells/moving.py
@@ -19,10 +19,11 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
-from runspool.cells.chart import CellMap, Move
+from runspool.cells.chart import SPREAD, CellMap, Move
 from runspool.cells.placing import home
 
 TICKETS_KEPT = 50_000
+HOMES_KEPT = 20_000  # homes drawn, of sessions mostly, until they are drawn anew
 
 
 class Stage(Enum):
@@ -51,6 +52,7 @@
     # (tenant, cell): queries that have not ended
     out: Counter[tuple[str, str]] = field(default_factory=Counter)
     tickets: OrderedDict[str, tuple[str, int]] = field(default_factory=OrderedDict)  # ticket: cell, until
+    homes: dict[tuple[str | None, str | None], str] = field(default_factory=dict)
 
     def adopt(self, chart: CellMap, unix_ms: int) -> bool:
         """Takes a newer map; False, with nothing changed, for an older one or the same. The moment is to be
@@ -58,17 +60,29 @@
         if chart.version <= self.chart.version:
             return False
         self.chart, self.adopted_unix_ms = chart, unix_ms
+        self.homes.clear()
         return True
 
     def home(self, unix_ms: int, tenant: str | None, session: str | None) -> str:
         """Where new queries of a tenant are taken at a moment."""
-        cell = home(self.chart, tenant, session)
+        cell = self._drawn(tenant, session)
         for move in self.chart.moves:
             if move.tenant == tenant:
                 over = move.step == "turned_back" and unix_ms >= move.turned_unix_ms
                 cell = move.target if unix_ms >= move.starts_unix_ms and not over else move.source
         return cell
 
+    def _drawn(self, tenant: str | None, session: str | None) -> str:
+        """The map's home, remembered: drawn among 128 shards it cost as much as all the module's picks."""
+        known = tenant is not None and self.chart.tenants.get(tenant) != SPREAD
+        key = (tenant, None if known else session)
+        found = self.homes.get(key)
+        if found is None:
+            if len(self.homes) >= HOMES_KEPT:
+                self.homes.clear()
+            found = self.homes[key] = home(self.chart, tenant, session)
+        return found
+
     def way(self, now: int, unix_ms: int, tenant: str | None, session: str | None, ticket: str | None,
             later_try: bool, binds: int) -> Way:
         """Where a query is taken. `ticket` only for tariffs whose repeats a group smaller than all drops.
--- a/runspool/cells/ruling.py
+++ b/runspool/cells/ruling.py
@@ -13,8 +13,8 @@
 from runspool.cells.chart import CellMap
 from runspool.terms.checked import tenths
 
-HALF_LIFE = 10_000  # of what a cell's outcomes tell
-EVIDENCE = 8.0  # faded outcomes before they are taken for a cell's state
+HALF_LIFE = 20_000  # of what a cell's outcomes tell
+EVIDENCE = 4.0  # faded outcomes before they are taken for a cell's state: under 1.4 a second tell nothing
 GUARANTEE = 0.6  # of a front's bounds that is shared out to cells; the rest goes to whoever comes
 STEP_UP = 0.1  # by which the part that overflows grows at each settling time
 POISON_KEPT = 2_000  # fingerprints of queries remembered
--- a/runspool/cli/lab.py
+++ b/runspool/cli/lab.py
@@ -19,7 +19,8 @@
 from runspool.lab import retrace as retracing
 from runspool.lab.director import Director, Failed
 from runspool.lab.engine import Engine
-from runspool.lab.plan import DAYS, Plan, Unplayable, from_bench
+from runspool.lab.cellplans import DAYS
+from runspool.lab.plan import Plan, Unplayable, from_bench
 
 app = typer.Typer(no_args_is_help=True, help="The laboratory: stand-ins on loopback, scripted days, audits.")
 
@@ -37,7 +38,8 @@
     """Play a scripted day through real fronts and judge it from what passed on the sockets."""
     if name not in DAYS:
         _fail(f"no day {name!r}; there are {', '.join(DAYS)}")
-    _play(DAYS[name](seed), out, tapes, all_rules=True)
+    # Only the bad night puts every rule at stake.
+    _play(DAYS[name](seed), out, tapes, all_rules=name == "bad-night")
 
 
 @app.command(epilog="Example: runspool lab replay day.json --fronts 3 --engines 12 --out /tmp/replay")
--- a/runspool/cli/main.py
+++ b/runspool/cli/main.py
@@ -9,6 +9,7 @@
 import anyio
 import typer
 
+from runspool.cli import cells as cells_commands
 from runspool.cli import terms as terms_commands
 from runspool.cli.logs import start_logs
 from runspool.service.running import run_front
@@ -19,6 +20,7 @@
 app = typer.Typer(no_args_is_help=True, pretty_exceptions_enable=False,
                   help="A router for language-model serving with readers and writers on separate engines.")
 app.add_typer(terms_commands.app, name="terms")
+app.add_typer(cells_commands.app, name="cells")
 
 
 @app.command(epilog="Example: runspool front examples/house.jsonnet   (exit 0: stopped in order, "
--- a/runspool/engines/shots.py
+++ b/runspool/engines/shots.py
@@ -17,7 +17,7 @@
 from runspool.terms import EnginesTerms
 from runspool.engines.replies import BadReply, Reply
 from runspool.engines.vigil import Vigil, Watched
-from runspool.sockets.lines import Gone
+from runspool.sockets.lines import Gone, dial
 from runspool.terms.checked import TENTHS, tenths
 from runspool.wire import engine as wire
 
@@ -134,6 +134,16 @@
             return False
         return True
 
+    async def answers(self, address: Address) -> bool:
+        """Whether an engine still takes connections; asked when one broke, to tell a reset from its end."""
+        try:
+            with anyio.fail_after(self.terms.connect_ms / 1000):
+                line = await dial(address, self.terms.source_address)
+        except (OSError, TimeoutError):
+            return False
+        line.drop()
+        return True
+
     def _clock(self, limit: int) -> _Clock:
         if limit <= 0:
             raise _Stopped(Mishap.NO_TIME)
--- a/runspool/lab/engine.py
+++ b/runspool/lab/engine.py
@@ -38,6 +38,7 @@
 class Standin(msgspec.Struct):
     try_: str = msgspec.field(name="try", default="")
     out: int = 64
+    poison: bool = False  # an engine that starts to write it goes down
 
 
 class Params(msgspec.Struct):
@@ -295,6 +296,9 @@
                          stage="read" if reads else "write", fetches=fetches, tariff=tariff, tenant=tenant,
                          ticket=asked.headers.get("runspool-ticket", ""), prompt=length,
                          **{"try": standin.try_})
+        if standin.poison and not reads:
+            self.record.line("fell", engine=self.make.name, poison=True)
+            self.fall()
         how = "lost"
         try:
             how = await self._play(asked, row, request, standin.try_, reads)
--- a/runspool/service/conversation.py
+++ b/runspool/service/conversation.py
@@ -118,6 +118,8 @@
             await self._query(request, came)
         elif path == "/healthz" and method == "GET":
             await self._plain(503 if self.front.closing else 200, b"{}")
+        elif path == "/cells" and method == "GET":
+            await self._plain(200, msgspec.json.encode(self.front.cells()))
         elif path == "/v1/models" and method == "GET":
             models = {"object": "list", "data": [{"id": self.front.terms.front.model, "object": "model",
                                                   "created": 0, "owned_by": "runspool"}]}
@@ -137,6 +139,10 @@
         try:
             taken = self.front.take(wish, reply, came)
         except Refused as refused:
+            if refused.kind is Kind.SCRAPPED:
+                await self._plain(SCRAPPED, wire.error_body("scrapped", refused.code, refused.message),
+                                  [("X-Should-Retry", "false")])
+                return
             await self._plain(DISMISSED, wire.error_body("dismissed", refused.code, refused.message),
                               [("Retry-After", "1"), ("X-Should-Retry", "true")])
             return
--- a/runspool/service/front.py
+++ b/runspool/service/front.py
@@ -2,53 +2,77 @@
 
 from __future__ import annotations
 
+import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import replace
+from pathlib import Path
+from random import Random
 from typing import Any
 
 import anyio
 import anyio.lowlevel
 from anyio.abc import TaskGroup
 import structlog
+import xxhash
 
-from runspool.decisions.interface import Ending, Listed, Outcome, Query, Role, Roster
+from runspool.cells.chart import CellMap
+from runspool.cells.keeping import Asked, Keeping, Stay, Turned
+from runspool.cells.placing import Place
+from runspool.decisions.interface import Ending, Listed, Outcome, Query, Role
 from runspool.engines import Caller, Ended
 from runspool.engines.endings import ENDINGS, Mishap
 from runspool.engines.shots import Address, limit_of
 from runspool.front import Desk
 from runspool.front.door import Door, mark
-from runspool.roster.following import Following
+from runspool.roster.following import GONE_KEPT, Following
 from runspool.roster.watching import started
 from runspool.service.budget import first_token_budget
 from runspool.service.clock import now, unix_ms_at_zero
+from runspool.service.quarter import Quarter
 from runspool.service.tape import Tape
 from runspool.service.taken import Final, Kind, Reply, Taken
 from runspool.service.timers import Timers
 from runspool.terms import Terms
+from runspool.terms.checked import tenths
 from runspool.wire.completions import Wish
 from runspool.wire.listing import Entry, address_of
 
 NAMES_KNOWN = 200_000  # texts' names remembered before the one unseen for longest is forgotten
 NAME_KEPT = 6_000_000  # tenths of a millisecond: a text unseen for so long is kept by no engine any more
 RELEASE_LIMIT = 5_000
+TAKEN_BYTES = 256 << 20  # of queries held at once, shared out to cells
 GUARD = "guard."
 
 
 class Refused(Exception):
-    """A query not taken: nothing has been done for it, and nothing will be."""
+    """A query not taken: nothing has been done for it, and nothing will be. A scrapping where an earlier try
+    of it may have run."""
 
-    def __init__(self, code: str, message: str) -> None:
+    def __init__(self, code: str, message: str, kind: Kind = Kind.DISMISSED) -> None:
         super().__init__(message)
-        self.code, self.message = code, message
+        self.code, self.message, self.kind = code, message, kind
+
+
+TURNED = {
+    Turned.CELL_FULL: ("cell_full", "this cell has all the queries here it may; come later", Kind.DISMISSED),
+    Turned.FRONT_FULL: ("front_full", "this front holds all the queries it may; come later or ask another",
+                        Kind.DISMISSED),
+    Turned.POISONOUS: ("poisonous", "engines were lost with this query; it is sent nowhere", Kind.SCRAPPED),
+    Turned.UNSURE: ("unsure", "its tenant moves, and an earlier try may have run elsewhere", Kind.SCRAPPED),
+}
+# A connection that broke with the query out: the engine may have gone down, and may have by this query.
+BROKE = {Mishap.CUT_AFTER_LAST_BYTE, Mishap.CUT_IN_ANSWER, Mishap.CUT_IN_STREAM}
 
 
 class Front:
-    """The outbox of a desk, on sockets. All of it runs in one event loop; no method blocks."""
+    """Carries out what the cells' desks ask, on sockets. It runs in one event loop; no method blocks."""
 
-    def __init__(self, terms: Terms, tape: Tape | None = None, seed: int | None = None) -> None:
+    def __init__(self, terms: Terms, tape: Path | None = None, seed: int | None = None,
+                 chart: CellMap | None = None, adopted_unix_ms: int = 0) -> None:
         self.terms = terms
         self.house = terms.house_terms()
-        self.tape = tape or Tape(None)
+        self.tape_file = tape
         self.log = structlog.get_logger()
         self.tariffs = {name: at for at, name in enumerate(terms.house.tariffs)}
         self.tenants = {name: at for at, name in enumerate(terms.house.tenants)}
@@ -70,9 +94,14 @@
         self.empty = anyio.Event()
         self.counts: Counter[str] = Counter()
         self.tasks: TaskGroup | None = None
-        seed = terms.front.seed if seed is None else seed
-        self.tape.line(self.life, "start", seed, self.house)
-        self.desk = Desk(self.house, seed, self, self.life)
+        self.seed = terms.front.seed if seed is None else seed
+        self.keeping = Keeping(chart or CellMap(version=0, way="fixed"), terms.front.bounds.queries,
+                               TAKEN_BYTES, Random(self.seed ^ 0x5EED).random, adopted_unix_ms)
+        self.lines: dict[str, Listed] = {}
+        self.quarters: dict[str, Quarter] = {}
+        self.quarter(self.keeping.chart.names()[0])
+
+    # What comes in.
 
     # What comes in.
 
@@ -80,14 +109,13 @@
         """Takes a query: from here on it is owed one final answer. Raises Refused where it is not taken."""
         if self.closing:
             raise Refused("closing", "this front is stopping; ask another")
-        if len(self.queries) >= self.terms.front.bounds.queries:
-            raise Refused("front_full", "this front holds all the queries it may; come later or ask another")
+        stay = self._let_in(wish)
         index = self.arrived
         self.arrived += 1
         at = now()
         limit = came + wish.limit
         name = f"{self.terms.front.name}-{self.life:x}-{index}"
-        taken = Taken(index, name, wish, reply, came, limit, self._passed_on(wish))
+        taken = Taken(index, name, wish, reply, came, limit, self._passed_on(wish), stay)
         self.queries[index] = taken
         query = Query(
             index=index,
@@ -111,10 +139,28 @@
         self.log.debug("query_taken", query=name, tariff=wish.tariff, tenant=wish.tenant, prompt=wish.prompt,
                        limit=wish.limit, mark=wish.mark)
         self.timers.at(limit - self.house.answer_slack // 2, f"{GUARD}{index}")
-        self.tape.line(at, "arrive", query)
-        self._tell(taken, self.desk.arrive, at, query)
+        self._tell(taken, self.quarter(stay.cell).arrive, query)
         return taken
 
+    def _let_in(self, wish: Wish) -> Stay:
+        row = self.terms.house.tariffs[wish.tariff]
+        # A ticket that all engines know binds no cell.
+        bound = row.effect == "ticketed" and row.group != "all"
+        print_ = xxhash.xxh64_hexdigest(f"{wish.tenant}\0".encode() + bytes(wish.body["prompt"]))
+        asked = Asked(wish.tenant, wish.session, wish.ticket if bound else None, wish.resent or wish.again,
+                      tenths(row.window_ms + self.terms.front.bounds.longest_limit_ms) if bound else 0,
+                      wish.size, print_)
+        stay = self.keeping.let_in(now(), self.unix_ms(), asked)
+        if isinstance(stay, Turned):
+            code, message, kind = TURNED[stay]
+            self.counts[f"turned_{code}"] += 1
+            raise Refused(code, message, kind)
+        return stay
+
+    def unix_ms(self) -> int:
+        """The wall clock, by which a cell map's moments are told."""
+        return time.time_ns() // 1_000_000
+
     def left(self, taken: Taken) -> None:
         """The client has gone: whatever is out for it is called back."""
         if not taken.settle(Final(Kind.LEFT)):
@@ -124,15 +170,88 @@
 
     def engines_changed(self, changed: list[Entry]) -> None:
         """News of the list, as soon as it is known."""
-        lines = [line for entry in changed if (line := self._listed(entry)) is not None]
-        at = now()
-        self.tape.line(at, "roster", False, lines)
-        self.desk.roster(at, Roster(False, lines))
+        for entry in changed:
+            line = self._listed(entry)
+            if line is not None:
+                self.lines.pop(entry.engine, None)
+                self.lines[entry.engine] = line
+        gone = [name for name, line in self.lines.items() if line.state == "gone"]
+        for name in gone[: max(0, len(gone) - GONE_KEPT)]:
+            del self.lines[name]
+        self._place()
+
+    def map_changed(self, chart: CellMap, unix_ms: int) -> None:
+        """A newer cell map. What has been taken stays where it is."""
+        if not self.keeping.adopt(chart, unix_ms):
+            return
+        self.log.info("cells_adopted", version=chart.version, cells=len(chart.names()))
+        self._place()
+        for name, quarter in list(self.quarters.items()):
+            self._close_if_left(name, quarter)
+
+    def cells(self) -> dict[str, Any]:
+        """Where this front stands with its cells and moves, for operators."""
+        keeping, at, unix_ms = self.keeping, now(), self.unix_ms()
+        return {
+            "front": self.terms.front.name, "version": keeping.chart.version,
+            "adopted_unix_ms": keeping.adopted_unix_ms, "lacks": keeping.placed.lacks,
+            "panicking": sorted(keeping.panicking),
+            "moves": [{"id": move.id, "tenant": move.tenant, "source": move.source, "target": move.target,
+                       "stage": keeping.moves.stage(at, unix_ms, move).name.lower(),
+                       "out": keeping.moves.out[move.tenant, move.source]} for move in keeping.chart.moves],
+            "cells": {name: {"engines": sorted(there), "queries": keeping.queries.held.get(name, 0),
+                             "overflow": round(keeping.overflows.standing(name).part, 3),
+                             "lent": keeping.overflows.standing(name).lent}
+                      for name, there in keeping.placed.cells.items()},
+        }
+
+    def _place(self) -> None:
+        """Tells each cell's desk what engines it has. One that the map has no more keeps those it had."""
+        zones = self.terms.house.zones
+        places = [Place(name, self.roles[line.engine], zones[line.zone] if line.zone >= 0 else "", line.rack)
+                  for name, line in self.lines.items()]
+        before = self.keeping.placed.lacks
+        off = {name for name, line in self.lines.items() if line.state != "on"}
+        placed = self.keeping.listed(places, off)
+        if placed.lacks != before and self.keeping.chart.version:
+            self.log.warning("cells_lack", what=placed.lacks[:20], more=max(0, len(placed.lacks) - 20))
+        for name, quarter in self.quarters.items():
+            quarter.told(self._engines_of(name, quarter))
+
+    def _engines_of(self, name: str, quarter: Quarter) -> dict[int, Listed]:
+        there = self.keeping.placed.cells.get(name)
+        if there is None:
+            return {line.engine: line for line in self.lines.values()
+                    if line.engine in quarter.engines and line.state == "on"}
+        return {self.lines[engine].engine: self.lines[engine] for engine in there}
+
+    def quarter(self, name: str) -> Quarter:
+        """A cell's desk, made when its first query comes."""
+        found = self.quarters.get(name)
+        if found is None:
+            # One cell of several that share engines is to the others like another front.
+            terms = replace(self.house, fronts=round(self.house.fronts * self.keeping.overlap()))
+            first = not self.quarters and name == self.keeping.chart.names()[0]
+            file = self.tape_file and (self.tape_file if first else
+                                       self.tape_file.with_name(f"{self.tape_file.name}.{name}"))
+            found = Quarter(name, terms, self.seed if first else self.seed ^ mark(name), self, Tape(file))
+            self.quarters[name] = found
+            found.told(self._engines_of(name, found))
+        return found
+
+    def _close_if_left(self, name: str, quarter: Quarter) -> None:
+        if not quarter.queries and name not in self.keeping.chart.names():
+            quarter.tape.close()
+            del self.quarters[name]
+
+    @property
+    def desk(self) -> Desk:
+        """That of the only cell, or of the first."""
+        return next(iter(self.quarters.values())).desk
 
     def list_lost(self) -> None:
-        at = now()
-        self.tape.line(at, "list_failed")
-        self.desk.list_failed(at)
+        for quarter in self.quarters.values():
+            quarter.list_lost()
 
     def scrap_all(self) -> None:
         """The stop's last resort: whoever still waits gets the answer that promises nothing."""
@@ -146,43 +265,35 @@
     def send(self, query: int, engine: int, cap: int) -> None:
         taken = self.queries[query]
         taken.shots += 1
-        self.tape.line(now(), "send", query, engine, cap)
         self._spawn(self._shot, taken, engine, cap)
 
     def dismiss(self, query: int, hold_off: int) -> None:
-        self.tape.line(now(), "dismiss", query, hold_off)
         self._settle(self.queries[query], Final(
             Kind.DISMISSED, "dismissed", "not run; trying again is harmless", hold_off))
 
     def scrap(self, query: int) -> None:
-        self.tape.line(now(), "scrap", query)
         self._settle(self.queries[query], Final(
             Kind.SCRAPPED, "scrapped", "nothing is promised: it may or may not have run"))
 
     def release(self, query: int) -> None:
-        self.tape.line(now(), "release", query)
         taken = self.queries[query]
         if taken.state is not None:
             self._spawn(self._let_go, taken, taken.state_at, taken.state)
             taken.state = None
 
-    def move(self, query: int) -> None:
-        self.tape.line(now(), "move", query)
-
-    def subscribe(self) -> None:
-        self.tape.line(now(), "subscribe")
-
     def wake(self, token: str, at: int) -> None:
-        self.tape.line(now(), "wake", token, at)
         self.timers.at(at, token)
 
     def note(self, text: str) -> None:
-        self.tape.line(now(), "note", text)
         self.log.info("note", text=text)
 
     def forget(self, query: int) -> None:
-        self.tape.line(now(), "forget", query)
-        del self.queries[query]
+        taken = self.queries.pop(query)
+        kind = taken.final.kind if taken.final is not None else Kind.LEFT
+        self.keeping.ended(now(), taken.stay, {Kind.SUCCEEDED: False, Kind.DISMISSED: True}.get(kind))
+        quarter = self.quarters.get(taken.stay.cell)
+        if quarter is not None:
+            self._close_if_left(quarter.name, quarter)
         if not self.queries:
             self.empty.set()
             self.empty = anyio.Event()
@@ -209,6 +320,8 @@
                     self.log.exception("shot_failed", query=taken.id, fault=repr(fault))
                     ended = Ended(ENDINGS[Mishap.GARBLED], Mishap.GARBLED, repr(fault))
             taken.scope = None
+            if ended.mishap in BROKE and taken.final is None:
+                await self._look_for_poison(taken, engine, address)
         self._ended(taken, engine, sent, ended)
         if reads and ended.ending in (Ending.OVERDUE, Ending.RECALLED, Ending.SEVERED):
             # The read may have ended while its answer was given up; named by its request, its state goes.
@@ -234,8 +347,16 @@
                        ending=ended.ending.name, mishap=ended.mishap and ended.mishap.name,
                        detail=ended.detail, took=at - sent, kept=ended.kept)
         outcome = Outcome(ended.ending, at - sent, ended.kept, ended.report)
-        self.tape.line(at, "closed", taken.index, outcome, over)
-        self._tell(taken, self.desk.closed, at, taken.index, outcome, over)
+        self._tell(taken, self.quarter(taken.stay.cell).closed, taken.index, outcome, over)
+
+    async def _look_for_poison(self, taken: Taken, engine: int, address: Address) -> None:
+        """An engine that is down since the query was there counts against the query; it may be its doing."""
+        if await self.caller.answers(address) or not self.keeping.engine_lost(now(), taken.stay, engine):
+            return
+        self.log.error("query_poisonous", query=taken.id, tenant=taken.wish.tenant, engine=self.names[engine])
+        self.counts["poisonous"] += 1
+        if taken.settle(Final(Kind.SCRAPPED, "poisonous", TURNED[Turned.POISONOUS][1])):
+            self.counts["scrapped"] += 1
 
     async def _let_go(self, taken: Taken, engine: int, state: Any) -> None:
         if not await self.caller.release(self.addresses[engine], state, taken.id, RELEASE_LIMIT):
@@ -246,11 +367,9 @@
             self.counts[final.kind.value] += 1
 
     def _leave(self, taken: Taken) -> None:
-        at = now()
-        self.tape.line(at, "left", taken.index)
         if taken.scope is not None:
             taken.scope.cancel()
-        self._tell(taken, self.desk.left, at, taken.index)
+        self._tell(taken, self.quarter(taken.stay.cell).left, taken.index)
 
     def _tell(self, taken: Taken | None, news: Callable[..., None], *said: Any) -> None:
         """Against a fault in the decisions on one query ending all others: it alone is scrapped."""
@@ -258,7 +377,7 @@
             news(*said)
         except Exception as fault:
             self.log.exception("decisions_failed", query=taken and taken.id, fault=repr(fault))
-            if taken is not None and self.desk.drop(taken.index):
+            if taken is not None and self.quarter(taken.stay.cell).drop(taken.index):
                 self._settle(taken, Final(Kind.SCRAPPED, "scrapped", "nothing is promised"))
                 self.release(taken.index)
                 self.forget(taken.index)
@@ -275,9 +394,10 @@
                 self.counts["scrapped"] += 1
                 self._leave(taken)
             return
-        at = now()
-        self.tape.line(at, "rang", token)
-        self._tell(self.queries.get(int(token.partition(".")[0])), self.desk.rang, at, token)
+        token, _, cell = token.rpartition("@")
+        quarter = self.quarters.get(cell)
+        if quarter is not None:
+            self._tell(self.queries.get(int(token.partition(".")[0])), quarter.rang, token)
 
     def _spawn(self, work: Callable[..., Coroutine[Any, Any, None]], *args: Any) -> None:
         assert self.tasks is not None, "a front acts only while it runs"
@@ -316,8 +436,8 @@
         if taken.final is not None:
             return await anyio.lowlevel.checkpoint()  # answered while this was on its way: nothing after it
         taken.begun, taken.state = True, None
-        self.front.tape.line(at, "begun", taken.index, at - self.sent)
-        self.front._tell(taken, self.front.desk.begun, at, taken.index, at - self.sent)
+        quarter = self.front.quarter(taken.stay.cell)
+        self.front._tell(taken, quarter.begun, taken.index, at - self.sent)
         await self._passed(taken.reply.begun())
 
     async def said(self, text: str) -> None:
--- /dev/null
+++ b/runspool/service/mapwatch.py
@@ -0,0 +1,70 @@
+"""Keeps a front's cell map as new as its file, and what the front has taken on disk before it counts."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import anyio
+import anyio.to_thread
+import structlog
+
+from runspool.cells import book
+from runspool.cells.chart import CellMap
+from runspool.service.front import Front
+
+LOOK = 0.2  # seconds between looks at the file
+
+
+class MapWatch:
+    def __init__(self, file: Path, memory: Path) -> None:
+        self.file, self.memory = file, memory
+        self.seen: tuple[int, int] | None = None
+        self.log = structlog.get_logger()
+
+    def first(self, unix_ms: int) -> tuple[CellMap | None, int]:
+        """The map to begin with, and since when it is this front's: the last life's, if that is as new."""
+        kept: tuple[CellMap, int] | None = None
+        try:
+            kept = book.recall(self.memory)
+        except book.Torn as fault:
+            self.log.error("last_map_damaged", reason=str(fault))
+        chart = self._load()
+        if chart is None or (kept is not None and kept[0].version >= chart.version):
+            return kept if kept is not None else (None, 0)
+        book.remember(self.memory, chart, unix_ms)
+        return chart, unix_ms
+
+    async def follow(self, front: Front) -> None:
+        """Looks until cancelled. A map that cannot be read or kept is said, and the old one stays."""
+        while True:
+            await anyio.sleep(LOOK)
+            chart = await anyio.to_thread.run_sync(self._load)
+            if chart is None or chart.version <= front.keeping.chart.version:
+                continue
+            at = front.unix_ms()
+            try:
+                await anyio.to_thread.run_sync(book.remember, self.memory, chart, at)
+            except OSError as fault:
+                # Taken without being kept, a restart would not know when its tenants moved.
+                self.log.error("map_unkept", reason=str(fault))
+                self.seen = None
+                continue
+            front.map_changed(chart, at)
+
+    def _load(self) -> CellMap | None:
+        """The map, where the file has changed since the last look."""
+        try:
+            now = os.stat(self.file)
+        except OSError:
+            return None
+        mark = (now.st_mtime_ns, now.st_ino)
+        if mark == self.seen:
+            return None
+        try:
+            chart = book.load(self.file)
+        except book.Torn as fault:
+            self.log.error("map_unusable", reason=str(fault))
+            chart = None
+        self.seen = mark
+        return chart
--- a/runspool/service/running.py
+++ b/runspool/service/running.py
@@ -6,6 +6,7 @@
 import resource
 import signal
 import socket
+import time
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
@@ -20,7 +21,7 @@
 from runspool.service.clock import now
 from runspool.service.conversation import Conversation
 from runspool.service.front import Front
-from runspool.service.tape import Tape
+from runspool.service.mapwatch import MapWatch
 from runspool.sockets.lines import Gone, Line, accept
 from runspool.terms import Terms
 from runspool.wire.completions import error_body
@@ -41,7 +42,12 @@
     def __init__(self, terms: Terms, tape: Path | None = None, seed: int | None = None) -> None:
         self.terms = terms
         self.log = structlog.get_logger()
-        self.front = Front(terms, Tape(tape), seed)
+        self.maps = None
+        chart, adopted = None, 0
+        if terms.front.cells_file and terms.front.memory_file:
+            self.maps = MapWatch(Path(terms.front.cells_file), Path(terms.front.memory_file + ".cells"))
+            chart, adopted = self.maps.first(time.time_ns() // 1_000_000)
+        self.front = Front(terms, tape, seed, chart, adopted)
         self.open = 0
         self.busy = 0
         self.stopping = anyio.Event()
@@ -56,7 +62,8 @@
             await self._run(task_status)
         finally:
             self.front.caller.pool.close()
-            self.front.tape.close()
+            for quarter in self.front.quarters.values():
+                quarter.tape.close()
         self.log.info("front_stopped", front=self.terms.front.name, counts=dict(self.front.counts))
 
     async def _run(self, task_status: TaskStatus[int]) -> None:
@@ -73,6 +80,8 @@
                 tasks.start_soon(self._sweep)
                 tasks.start_soon(front.caller.vigil.run)
                 tasks.start_soon(self._keep)
+                if self.maps is not None:
+                    tasks.start_soon(self.maps.follow, front)
                 watch = Watch(place.list, place.name, front.following, now, self._changed, front.list_lost,
                               place.engines.source_address)
                 tasks.start_soon(watch.follow)
--- a/runspool/service/taken.py
+++ b/runspool/service/taken.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from runspool.cells.keeping import Stay
 from runspool.engines.shots import Ended, State
 from runspool.wire.completions import Wish
 
@@ -46,6 +47,7 @@
     came: int
     limit: int  # on the front's clock: when the client's time is up
     headers: dict[str, str]
+    stay: Stay
     shots: int = 0
     state: State | None = None  # the read state that waits
     state_at: int = -1  # the engine where it does
--- a/runspool/terms/checked.py
+++ b/runspool/terms/checked.py
@@ -153,6 +153,7 @@
     engines: EnginesTerms
     list: ListTerms
     memory_file: str | None
+    cells_file: str | None
     log_level: Literal["debug", "info", "warning", "error"]
 
 
@@ -171,6 +172,8 @@
             faults.append(f"front.number {self.front.number} is not under house.fronts {self.house.fronts}")
         if self.front.default_tariff not in (None, *self.house.tariffs):
             faults.append(f"front.default_tariff {self.front.default_tariff!r} is none of house.tariffs")
+        if self.front.cells_file is not None and self.front.memory_file is None:
+            faults.append("front.cells_file needs front.memory_file, or a restart forgets when tenants moved")
         if faults:
             raise ValueError("; ".join(faults))
         return self
--- a/runspool/terms/library/runspool.libsonnet
+++ b/runspool/terms/library/runspool.libsonnet
@@ -90,6 +90,7 @@
     engines: $.engines,
     list: list,
     memory_file: null,
+    cells_file: null,
     log_level: 'info',
   },
 }
--- a/runspool/wire/completions.py
+++ b/runspool/wire/completions.py
@@ -38,6 +38,7 @@
     again: bool
     resent: bool
     stream: bool
+    size: int  # bytes of its body
     body: dict[str, msgspec.Raw]
 
 
@@ -91,6 +92,7 @@
         again=headers.get("runspool-again", "0") == "1",
         resent=_whole(headers, "runspool-try", 1, 1, 1000) > 1,
         stream=_field(fields, "stream", bool, False),
+        size=len(body),
         body=fields,
     )
 
