--- a/benchmarks/cells.py
+++ b/benchmarks/cells.py
@@ -2,6 +2,8 @@
 
     python benchmarks/cells.py flood  --seeds 1,2,3,4,5  # gain of the others while one tenant sends six times
     python benchmarks/cells.py full   --seeds 1,2,3      # a cell whose every engine is full for 10 s
+    python benchmarks/cells.py poison --seeds 1          # one tenant's queries bring engines down
+    python benchmarks/cells.py release --seeds 1         # one cell's engines get a bad release
     python benchmarks/cells.py radius                    # who is hurt by one poisonous tenant, on paper
     python benchmarks/cells.py cost                      # a cell decision beside the module's own
 
@@ -30,7 +32,7 @@
 from runspool.front import Desk
 from runspool.lab import recording
 from runspool.lab.audit import history, judge
-from runspool.lab.cellplans import flood, full_cell
+from runspool.lab.cellplans import bad_release, flood, full_cell, poisoned
 from runspool.lab.director import Director, front_terms
 from runspool.lab.plan import Plan
 from runspool.lab.verdict import _served
@@ -103,6 +105,25 @@
     return said
 
 
+def hurt(seeds: list[int], day: Any) -> dict[str, Any]:
+    """Gain of the other three tenants in a trouble of one, with cells and without, against the calm day."""
+    rows = []
+    for seed in seeds:
+        row: dict[str, Any] = {"seed": seed, "broken": 0}
+        for cells in (True, False):
+            for trouble in (False, True):
+                events = played(day(seed, cells, trouble))
+                key = ("cells" if cells else "none") + ("_trouble" if trouble else "_calm")
+                sums = gains(events, 4)
+                row[key] = round(others(sums, "tenant-0"), 4)
+                row[key + "_own"] = round(sums["tenant-0"][0] / sums["tenant-0"][1], 4)
+                row[key + "_fell"] = sum(event["what"] == "fell" for event in events)
+                row["broken"] += broken(events)
+        print(row, flush=True)
+        rows.append(row)
+    return {"rows": rows}
+
+
 def full(seeds: list[int]) -> dict[str, Any]:
     rows = []
     for seed in seeds:
@@ -284,7 +305,7 @@
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__,
                                      formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("what", choices=["flood", "full", "radius", "cost"])
+    parser.add_argument("what", choices=["flood", "full", "poison", "release", "radius", "cost"])
     parser.add_argument("--seeds", default="1,2,3,4,5")
     parser.add_argument("--tenants", type=int, default=1000)
     parser.add_argument("--out", type=Path, help="A folder for the plot.")
@@ -296,6 +317,10 @@
             found = flooded(seeds)
         case "full":
             found = full(seeds)
+        case "poison":
+            found = hurt(seeds, poisoned)
+        case "release":
+            found = hurt(seeds, bad_release)
         case "radius":
             found = radius(said.tenants, said.out)
         case _:
--- a/runspool/lab/cellplans.py
+++ b/runspool/lab/cellplans.py
@@ -49,6 +49,22 @@
     return plan
 
 
+def poisoned(seed: int, cells: bool = True, poison: bool = True) -> Plan:
+    """For 15 s one query in thirty of one of four tenants brings down each engine that writes it."""
+    plan = _fleet("poisoned", seed, 24 * SECOND, 32, CELLS, cells)
+    if poison:
+        plan.troubles = [Trouble("poison", 4 * SECOND, 15 * SECOND, size=0.033, which=0)]
+    return plan
+
+
+def bad_release(seed: int, cells: bool = True, released: bool = True) -> Plan:
+    """One cell's engines get a release that errs on half its queries and is three times as slow."""
+    plan = _fleet("bad-release", seed, 30 * SECOND, 32, CELLS, cells)
+    if released:
+        plan.troubles = [Trouble("bad_release", 4 * SECOND, 10 * SECOND, size=0.5, extra=3, on=[0, 1, 2, 3])]
+    return plan
+
+
 # What strikes beside a move, and at which step of it: who is killed, and after which of the move's moments.
 STRIKES = [(who, step) for step in ("ahead", "settling", "over") for who in ("front", "source", "target")]
 
@@ -76,4 +92,4 @@
 
 DAYS: dict[str, Callable[[int], Plan]] = {
     "bad-night": bad_night, "quiet": quiet, "flood": flood, "full-cell": full_cell,
-    "moving-night": moving_night}
+    "moving-night": moving_night, "poisoned": poisoned, "bad-release": bad_release}
--- a/runspool/lab/clients.py
+++ b/runspool/lab/clients.py
@@ -142,7 +142,8 @@
     def _body(self, item: Item, name: str) -> bytes:
         return msgspec.json.encode({
             "model": "runspool", "prompt": "".join(text_of(part, size) for part, size in item.parts),
-            "max_tokens": 800, "stream": item.stream, "standin": {"try": name, "out": item.out}})
+            "max_tokens": 800, "stream": item.stream,
+            "standin": {"try": name, "out": item.out, "poison": item.poison}})
 
 
 class _Reading:
--- a/runspool/lab/crowd.py
+++ b/runspool/lab/crowd.py
@@ -35,6 +35,7 @@
     backoff: int
     leaves_after: int = 0
     reads_slowly: bool = False
+    poison: bool = False  # fells the engine that writes it
 
 
 def text_of(name: str, tokens: int) -> str:
@@ -47,7 +48,7 @@
     """All queries of the day in order of time."""
     rng = Random(plan.seed * 7919 + 1)
     by = {kind: [one for one in plan.troubles if one.kind == kind]
-          for kind in ("burst", "tenant_burst", "hot_key", "heavy_tail", "retry_abuse", "leaving")}
+          for kind in ("burst", "tenant_burst", "hot_key", "heavy_tail", "retry_abuse", "leaving", "poison")}
     turns = sum(row.share * row.turns for row in plan.tariffs)
     peak = plan.rate * 8
     items: list[Item] = []
@@ -110,6 +111,9 @@
     if rng.random() < leaving:
         item.leaves_after = rng.randrange(500, 3 * SECOND)
     item.reads_slowly = item.stream and rng.random() < plan.clients.slow_readers
+    for one in by["poison"]:
+        if _during(one, at) and one.which == tenant:
+            item.poison = rng.random() < one.size
     for one in by["retry_abuse"]:
         if _during(one, at) and one.which == tenant:
             item.limit = max(2_000, round(due * one.extra))
--- a/runspool/lab/director.py
+++ b/runspool/lab/director.py
@@ -225,6 +225,8 @@
             for trouble in self.plan.troubles:
                 tasks.start_soon(self._trouble, trouble)
             tasks.start_soon(self._lag)
+            if self.together == 1:
+                tasks.start_soon(self._revive, tasks)
             if self.progress is not None:
                 tasks.start_soon(self._show)
             await clients.run(items, self.start)
@@ -232,6 +234,16 @@
             await anyio.sleep(0.5)  # what is held is let go within this
             tasks.cancel_scope.cancel()
 
+    async def _revive(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts engines again that went down by themselves, as one pushed over or poisoned does."""
+        while True:
+            await anyio.sleep(0.05)
+            for at, process in enumerate(self.engines):
+                child = process.child
+                if child is not None and child.returncode is not None and not process.coming_back:
+                    tasks.start_soon(self._crash, Trouble("crash", 0, SECOND, on=[at]))
+                    await anyio.sleep(0)
+
     async def _lag(self) -> None:
         """Records where this process itself was late: a late reading is no late answer."""
         while True:
@@ -331,7 +343,7 @@
             "crash": self._crash, "restart": self._crash, "drain": self._drain, "ageing": self._ageing,
             "neighbour": self._neighbour, "balancer_roll": self._roll, "front_kill": self._front_kill,
             "discovery_stale": self._stale, "list_noise": self._noise, "flush": self._flush,
-            "cell_move": self._move,
+            "cell_move": self._move, "bad_release": self._bad_release,
         }
         play = plays.get(one.kind)
         if play is None and not (spans := self._spans(one)):
@@ -409,6 +421,17 @@
         else:
             await self._crash(Trouble("crash", 0, SECOND // 2, on=[at]))
 
+    async def _bad_release(self, one: Trouble) -> None:
+        """Engines restart one after the other into a release that errs and is slow; then all are mended."""
+        for at in one.on:
+            await self._crash(Trouble("crash", 0, SECOND // 2, on=[at]))
+            await self._fault(at, "row", row="failed_500", share=one.size)
+            await self._fault(at, "slow", times=max(1.0, one.extra))
+        await anyio.sleep(one.length / 10_000)
+        for at in one.on:
+            await self._fault(at, "row", row="failed_500", share=0)
+            await self._fault(at, "slow", times=1.0)
+
     async def _drain(self, one: Trouble) -> None:
         for at in one.on:
             self.listing.set(self._line(at, "draining"))
--- a/runspool/lab/plan.py
+++ b/runspool/lab/plan.py
@@ -109,7 +109,7 @@
                "hot_key", "neighbour", "origin_slow", "retry_abuse", "shared_slow", "slow", "tenant_burst",
                "throttle")
 OWN_KINDS = ("crash", "hang", "pause", "errors", "resets", "drain", "restart", "front_kill", "list_noise",
-             "leaving", "full", "cell_move")
+             "leaving", "full", "cell_move", "poison", "bad_release")
 
 
 def tariffs() -> list[TariffPlan]:
