--- a/runspool/lab/crowd.py
+++ b/runspool/lab/crowd.py
@@ -53,23 +53,39 @@
     peak = plan.rate * 8
     items: list[Item] = []
     at, number = 0.0, 0
+    weights = [row.share for row in plan.tenants]
     while True:
         at += rng.expovariate(peak) * SECOND
         if at >= plan.length:
             break
-        weights = [row.share * _times([one for one in by["tenant_burst"] if one.which == index], at)
-                   for index, row in enumerate(plan.tenants)]
         rate = plan.rate / turns * _shape(plan, at) * _times(by["burst"], at)
-        rate *= sum(weights) / max(1e-9, sum(row.share for row in plan.tenants))
         if rng.random() * peak > rate:
             continue
         number += 1
-        items += _session(plan, rng, number, round(at), weights, by)
+        items += _session(plan, rng, str(number), round(at), weights, by)
+    for nth, one in enumerate(by["tenant_burst"]):
+        items += _burst(plan, nth, one, plan.rate / turns, by)
     items.sort(key=lambda item: item.at)
     return items
 
 
-def _session(plan: Plan, rng: Random, number: int, at: int, weights: list[float],
+def _burst(plan: Plan, nth: int, one: Trouble, rate: float, by: dict[str, list[Trouble]]) -> list[Item]:
+    """What a tenant sends beyond its share; by draws of its own: all others ask what they ask without."""
+    rng = Random(plan.seed * 7919 + 2 + nth)
+    share = plan.tenants[one.which].share / max(1e-9, sum(row.share for row in plan.tenants))
+    items: list[Item] = []
+    weights = [float(index == one.which) for index in range(len(plan.tenants))]
+    at, number = float(one.at), 0
+    while one.size > 1:
+        at += rng.expovariate(rate * share * (one.size - 1)) * SECOND
+        if at >= min(one.at + one.length, plan.length):
+            break
+        number += 1
+        items += _session(plan, rng, f"b{nth}-{number}", round(at), weights, by)
+    return items
+
+
+def _session(plan: Plan, rng: Random, number: str, at: int, weights: list[float],
              by: dict[str, list[Trouble]]) -> list[Item]:
     tariff = rng.choices(range(len(plan.tariffs)), [row.share for row in plan.tariffs])[0]
     tenant = rng.choices(range(len(plan.tenants)), weights)[0]
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -10,6 +10,7 @@
 import anyio
 import pytest
 
+from runspool.lab.cellplans import flood
 from runspool.lab import recording, verdict
 from runspool.lab.crowd import Item, crowd
 from runspool.lab.director import Director
@@ -186,3 +187,11 @@
     assert said["kept"], said["rules"]
     assert {one["kind"] for one in said["troubles"]} >= {"ageing", "balancer_roll", "class_fail", "throttle"}
     assert said["rules"]["no query lost"]["cases"] > 30
+
+
+def test_a_tenants_flood_leaves_what_all_others_ask_as_it_was() -> None:
+    calm, flooded = crowd(flood(3, flooded=False)), crowd(flood(3))
+    assert [item for item in flooded if item.tenant != 0] == [item for item in calm if item.tenant != 0]
+    during = [item for item in flooded if 40_000 <= item.at < 340_000 and item.tenant == 0]
+    usual = [item for item in calm if 40_000 <= item.at < 340_000 and item.tenant == 0]
+    assert 4.5 < len(during) / len(usual) < 7.5
