--- a/runspool/lab/cellplans.py
+++ b/runspool/lab/cellplans.py
@@ -11,8 +11,8 @@
 )
 
 CELLS, FRONTS = 4, 4
-# What an engine bears against a bad night's: 24 queries a second are then half of what the readers bear, and
-# a tenant of four at six times its share is more than all bear. At full strength no flood was felt.
+# What an engine bears against a bad night's: at 24 queries a second cells are then full on a calm day, and
+# 14 are not; a tenant at six times its share makes it 31. At full strength no flood was felt.
 STRENGTH = 0.15
 KINDS = ("prefill", "prefill", "decode", "mixed")
 ZONES = ("waw-1", "waw-2")
@@ -39,7 +39,7 @@
 
 def flood(seed: int, cells: bool = True, flooded: bool = True) -> Plan:
     """One of four tenants sends six times its share for 30 s."""
-    plan = _fleet("flood", seed, 36 * SECOND, 24, CELLS, cells)
+    plan = _fleet("flood", seed, 36 * SECOND, 14, CELLS, cells)
     if flooded:
         plan.troubles = [Trouble("tenant_burst", 4 * SECOND, 30 * SECOND, size=6, which=0)]
     return plan
@@ -47,7 +47,7 @@
 
 def full_cell(seed: int, full: bool = True) -> Plan:
     """Every engine of one cell answers that it is full for 10 s."""
-    plan = _fleet("full-cell", seed, 30 * SECOND, 24, CELLS, True)
+    plan = _fleet("full-cell", seed, 30 * SECOND, 14, CELLS, True)
     if full:
         plan.troubles = [Trouble("full", 8 * SECOND, 10 * SECOND, on=[0, 1, 2, 3])]
     return plan
@@ -55,7 +55,7 @@
 
 def poisoned(seed: int, cells: bool = True, poison: bool = True) -> Plan:
     """For 15 s one query in thirty of one of four tenants brings down each engine that writes it."""
-    plan = _fleet("poisoned", seed, 24 * SECOND, 24, CELLS, cells)
+    plan = _fleet("poisoned", seed, 24 * SECOND, 14, CELLS, cells)
     if poison:
         plan.troubles = [Trouble("poison", 4 * SECOND, 15 * SECOND, size=0.033, which=0)]
     return plan
@@ -63,7 +63,7 @@
 
 def bad_release(seed: int, cells: bool = True, released: bool = True) -> Plan:
     """One cell's engines get a release that errs on half its queries and is three times as slow."""
-    plan = _fleet("bad-release", seed, 30 * SECOND, 24, CELLS, cells)
+    plan = _fleet("bad-release", seed, 30 * SECOND, 14, CELLS, cells)
     if released:
         plan.troubles = [Trouble("bad_release", 4 * SECOND, 10 * SECOND, size=0.5, extra=3, on=[0, 1, 2, 3])]
     return plan
