--- a/runspool/cells/book.py
+++ b/runspool/cells/book.py
@@ -17,15 +17,11 @@
 
 from runspool.cells.chart import CellMap
 from runspool.cells.moving import Refused
+from runspool.files.whole import Torn, read, replace, sealed
 
-MOST_BYTES = 32 << 20  # of a map's file
 LOG_KEPT = 1_000  # changes; older ones are cut off
 
 
-class Torn(Exception):
-    """A file that is there but cannot be believed; names it and says why."""
-
-
 class Kept(msgspec.Struct, frozen=True):
     """A map as a front has taken it."""
 
@@ -44,12 +40,7 @@
 
 def write(path: Path, body: bytes) -> None:
     """Replaces a file so that a reader finds the old one or the new one, whenever the writer is killed."""
-    beside = path.with_name(f"{path.name}.{os.getpid()}.new")
-    with open(beside, "wb") as out:
-        out.write(b"%08x\n" % crc32(body) + body)
-        out.flush()
-        os.fsync(out.fileno())
-    os.replace(beside, path)
+    replace(path, sealed(body), f".{os.getpid()}.new")
     folder = os.open(path.parent, os.O_RDONLY)
     try:
         os.fsync(folder)
@@ -57,23 +48,6 @@
         os.close(folder)
 
 
-def read(path: Path) -> bytes | None:
-    """What write() wrote, None where there is no file; raises Torn."""
-    try:
-        with open(path, "rb") as file:
-            raw = file.read(MOST_BYTES + 1)
-    except FileNotFoundError:
-        return None
-    except OSError as fault:
-        raise Torn(f"{path}: {fault.strerror}") from None
-    if len(raw) > MOST_BYTES:
-        raise Torn(f"{path}: over {MOST_BYTES} bytes")
-    head, _, body = raw.partition(b"\n")
-    if head != b"%08x" % crc32(body):
-        raise Torn(f"{path}: checksum does not fit its {len(body)} bytes")
-    return body
-
-
 def encoded(chart: CellMap) -> bytes:
     return chart.model_dump_json().encode()
 
@@ -150,12 +124,7 @@
     kept: list[Change] = changes(path)
     body = msgspec.json.encode(Change(unix_ms, what, chart.version, msgspec.Raw(encoded(chart))))
     lines = [*(msgspec.json.encode(one) for one in kept[-LOG_KEPT + 1:]), body]
-    beside = log.with_name(log.name + ".new")
-    with open(beside, "wb") as out:
-        out.write(b"".join(b"%08x %b\n" % (crc32(line), line) for line in lines))
-        out.flush()
-        os.fsync(out.fileno())
-    os.replace(beside, log)
+    replace(log, b"".join(b"%08x %b\n" % (crc32(line), line) for line in lines))
     write(path, encoded(chart))
 
 
@@ -170,3 +139,7 @@
         chart = decoded(bytes(logged[-1].chart), str(log_of(path)))
         write(path, encoded(chart))
     return chart
+
+
+__all__ = ["Change", "Torn", "change", "changes", "changing", "decoded", "encoded", "load", "log_of", "mend",
+           "recall", "remember", "write"]
--- a/runspool/cli/cells.py
+++ b/runspool/cli/cells.py
@@ -21,6 +21,7 @@
 from runspool.cli.terms import Vars, read
 from runspool.decisions.interface import Role
 from runspool.roster import memory
+from runspool.service.clock import unix_ms
 from runspool.terms import Terms
 from runspool.terms.checked import tenths
 from runspool.terms.reading import Unreadable, evaluate
@@ -139,7 +140,7 @@
     desk = Desk(file, var)
     with said_plainly():
         before = desk.chart()
-        after = moving.turned_back(before, move_id, _unix_ms())
+        after = moving.turned_back(before, move_id, unix_ms())
         _differences(before, after, desk.engines())
         _write(desk, yes, f"undo {move_id}", before, after)
 
@@ -150,7 +151,7 @@
     desk = Desk(file, var)
     with said_plainly():
         before = desk.chart()
-        after = moving.done(before, move_id, _unix_ms(), desk.binds())
+        after = moving.done(before, move_id, unix_ms(), desk.binds())
         _differences(before, after, desk.engines())
         _write(desk, yes, f"finish {move_id}", before, after)
 
@@ -189,11 +190,11 @@
         before = desk.chart()
         if tenant not in desk.terms.house.tenants:
             raise moving.Refused(f"{tenant} is none of the house's tenants")
-        unix_ms = _unix_ms()
-        source = moving.Moves(before).home(unix_ms, tenant, None)
+        wall = unix_ms()
+        source = moving.Moves(before).home(wall, tenant, None)
         engines = desk.engines()
         asked = Move(id=f"m-{before.version + 1}", tenant=tenant, source=source, target=target,
-                     starts_unix_ms=unix_ms + starts_in_ms, warm=warm)
+                     starts_unix_ms=wall + starts_in_ms, warm=warm)
         after = moving.planned(before, asked, place(before, engines).lacks)
         _differences(before, after, engines)
         _write(desk, yes, f"move {tenant} {source} {target}", before, after)
@@ -209,7 +210,7 @@
         now = book.mend(desk.path)
         if (now and now.version) != (before and before.version):
             raise moving.Refused("the map has been changed meanwhile; look again")
-        book.change(desk.path, what, after, _unix_ms())
+        book.change(desk.path, what, after, unix_ms())
     out.print(f"{desk.path}: version {after.version}")
 
 
@@ -240,7 +241,3 @@
             return found
     except (urllib.error.URLError, OSError, ValueError) as fault:
         return f"not reached: {fault}"
-
-
-def _unix_ms() -> int:
-    return time.time_ns() // 1_000_000
--- /dev/null
+++ b/runspool/files/__init__.py
@@ -0,0 +1,1 @@
+"""Files that are whole or not there."""
--- a/runspool/lab/moves.py
+++ b/runspool/lab/moves.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -13,6 +12,7 @@
 from runspool.cells.chart import CellMap, Move
 from runspool.lab.plan import Plan, Trouble
 from runspool.lab.recording import Recorder
+from runspool.service.clock import unix_ms
 
 AHEAD = 0.4  # seconds from the news of a move to its moment: longer than the skew between fronts
 HALF_WAY = 1.0  # until one that is undone is turned back
@@ -39,11 +39,11 @@
         over, _, strike = one.how.partition(" ")
         who, _, step = strike.partition(" ")
         tenant = self.plan.tenants[one.on[0]].name
-        source = moving.Moves(self.chart).home(_unix_ms(), tenant, None)
+        source = moving.Moves(self.chart).home(unix_ms(), tenant, None)
         cells = [name for name in self.chart.names() if name != source]
         target = cells[one.which % len(cells)]
         asked = Move(id=f"m{one.which}", tenant=tenant, source=source, target=target,
-                     starts_unix_ms=_unix_ms() + int(AHEAD * 1000))
+                     starts_unix_ms=unix_ms() + int(AHEAD * 1000))
 
         async def struck(now: str) -> None:
             if now == step:
@@ -56,11 +56,11 @@
             tasks.start_soon(struck, "settling")
             if over == "undo":
                 await anyio.sleep(HALF_WAY)
-                after = moving.turned_back(self.chart, asked.id, _unix_ms())
+                after = moving.turned_back(self.chart, asked.id, unix_ms())
                 self._tell(tasks, after, one.size, "undone", asked.id)
             else:
                 await anyio.sleep((self.binds() / 10 + MARGIN_MS) / 1000)
-                after = moving.done(self.chart, asked.id, _unix_ms(), self.binds())
+                after = moving.done(self.chart, asked.id, unix_ms(), self.binds())
                 self._tell(tasks, after, one.size, "done", asked.id)
             tasks.start_soon(struck, "over")
 
@@ -86,7 +86,3 @@
     def _write(self, at: int, chart: CellMap) -> None:
         self.written[at] = chart.version
         book.write(self.folder / f"{self.plan.fronts[at].name}.map", book.encoded(chart))
-
-
-def _unix_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/runspool/service/clock.py
+++ b/runspool/service/clock.py
@@ -12,3 +12,8 @@
 def unix_ms_at_zero() -> float:
     """What the wall clock said, in milliseconds, when this clock stood at 0."""
     return time.time_ns() / 1e6 - time.monotonic_ns() / 1e6
+
+
+def unix_ms() -> int:
+    """The wall clock, by which a cell map's moments are told."""
+    return time.time_ns() // 1_000_000
--- a/runspool/service/front.py
+++ b/runspool/service/front.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import replace
@@ -28,7 +27,7 @@
 from runspool.roster.following import GONE_KEPT, Following
 from runspool.roster.watching import started
 from runspool.service.budget import first_token_budget
-from runspool.service.clock import now, unix_ms_at_zero
+from runspool.service.clock import now, unix_ms, unix_ms_at_zero
 from runspool.service.quarter import Quarter
 from runspool.service.tape import Tape
 from runspool.service.taken import Final, Kind, Reply, Taken
@@ -150,17 +149,13 @@
         asked = Asked(wish.tenant, wish.session, wish.ticket if bound else None, wish.resent or wish.again,
                       tenths(row.window_ms + self.terms.front.bounds.longest_limit_ms) if bound else 0,
                       wish.size, print_)
-        stay = self.keeping.let_in(now(), self.unix_ms(), asked)
+        stay = self.keeping.let_in(now(), unix_ms(), asked)
         if isinstance(stay, Turned):
             code, message, kind = TURNED[stay]
             self.counts[f"turned_{code}"] += 1
             raise Refused(code, message, kind)
         return stay
 
-    def unix_ms(self) -> int:
-        """The wall clock, by which a cell map's moments are told."""
-        return time.time_ns() // 1_000_000
-
     def left(self, taken: Taken) -> None:
         """The client has gone: whatever is out for it is called back."""
         if not taken.settle(Final(Kind.LEFT)):
@@ -180,9 +175,9 @@
             del self.lines[name]
         self._place()
 
-    def map_changed(self, chart: CellMap, unix_ms: int) -> None:
+    def map_changed(self, chart: CellMap, since: int) -> None:
         """A newer cell map. What has been taken stays where it is."""
-        if not self.keeping.adopt(chart, unix_ms):
+        if not self.keeping.adopt(chart, since):
             return
         self.log.info("cells_adopted", version=chart.version, cells=len(chart.names()))
         self._place()
@@ -191,13 +186,13 @@
 
     def cells(self) -> dict[str, Any]:
         """Where this front stands with its cells and moves, for operators."""
-        keeping, at, unix_ms = self.keeping, now(), self.unix_ms()
+        keeping, at, wall = self.keeping, now(), unix_ms()
         return {
             "front": self.terms.front.name, "version": keeping.chart.version,
             "adopted_unix_ms": keeping.adopted_unix_ms, "lacks": keeping.placed.lacks,
             "panicking": sorted(keeping.panicking),
             "moves": [{"id": move.id, "tenant": move.tenant, "source": move.source, "target": move.target,
-                       "stage": keeping.moves.stage(at, unix_ms, move).name.lower(),
+                       "stage": keeping.moves.stage(at, wall, move).name.lower(),
                        "out": keeping.moves.out[move.tenant, move.source]} for move in keeping.chart.moves],
             "cells": {name: {"engines": sorted(there), "queries": keeping.queries.held.get(name, 0),
                              "overflow": round(keeping.overflows.standing(name).part, 3),
--- a/runspool/service/mapwatch.py
+++ b/runspool/service/mapwatch.py
@@ -11,6 +11,7 @@
 
 from runspool.cells import book
 from runspool.cells.chart import CellMap
+from runspool.service.clock import unix_ms
 from runspool.service.front import Front
 
 LOOK = 0.2  # seconds between looks at the file
@@ -22,7 +23,7 @@
         self.seen: tuple[int, int] | None = None
         self.log = structlog.get_logger()
 
-    def first(self, unix_ms: int) -> tuple[CellMap | None, int]:
+    def first(self, since: int) -> tuple[CellMap | None, int]:
         """The map to begin with, and since when it is this front's: the last life's, if that is as new."""
         kept: tuple[CellMap, int] | None = None
         try:
@@ -32,8 +33,8 @@
         chart = self._load()
         if chart is None or (kept is not None and kept[0].version >= chart.version):
             return kept if kept is not None else (None, 0)
-        book.remember(self.memory, chart, unix_ms)
-        return chart, unix_ms
+        book.remember(self.memory, chart, since)
+        return chart, since
 
     async def follow(self, front: Front) -> None:
         """Looks until cancelled. A map that cannot be read or kept is said, and the old one stays."""
@@ -42,7 +43,7 @@
             chart = await anyio.to_thread.run_sync(self._load)
             if chart is None or chart.version <= front.keeping.chart.version:
                 continue
-            at = front.unix_ms()
+            at = unix_ms()
             try:
                 await anyio.to_thread.run_sync(book.remember, self.memory, chart, at)
             except OSError as fault:
--- a/runspool/service/running.py
+++ b/runspool/service/running.py
@@ -6,7 +6,6 @@
 import resource
 import signal
 import socket
-import time
 from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
@@ -18,7 +17,7 @@
 
 from runspool.roster.memory import Torn, keep, recall
 from runspool.roster.watching import Watch
-from runspool.service.clock import now
+from runspool.service.clock import now, unix_ms
 from runspool.service.conversation import Conversation
 from runspool.service.front import Front
 from runspool.service.mapwatch import MapWatch
@@ -46,7 +45,7 @@
         chart, adopted = None, 0
         if terms.front.cells_file and terms.front.memory_file:
             self.maps = MapWatch(Path(terms.front.cells_file), Path(terms.front.memory_file + ".cells"))
-            chart, adopted = self.maps.first(time.time_ns() // 1_000_000)
+            chart, adopted = self.maps.first(unix_ms())
         self.front = Front(terms, tape, seed, chart, adopted)
         self.open = 0
         self.busy = 0
