The auditor excuses a kill only for what was owed at its time, and can judge with no slack

Seen: a state held ten seconds, or a query unanswered a minute past its limit, was excused by any later kill of its front; a drain was forgotten when an older list line came late. Found when a history whose front lets no state go passed. Excluded: the slack (the spans were 10 s), the recordings (held and expired stood in them). Faulty: audit.py _state and _lost (any kill up to the end excused), _news (lines taken in order of arrival, whatever their version). Now a kill ends the time that is judged, overtaken lines say nothing, and the slack is a value: SOCKETS as before, EXACT is nought. Before: three new sabotaged recordings passed; after: each is refused for its rule.

--- a/runspool/lab/audit.py
+++ b/runspool/lab/audit.py
@@ -16,9 +16,6 @@
 from runspool.lab.plan import EnginePlan, Plan, TariffPlan
 from runspool.lab.recording import Event, Unreadable
 
-LATE_SLACK = 500  # an answer this much after the limit is late by the reader's own doing (50 ms)
-SEEN_SLACK = 1_500  # between what a front does and what the far end records of it (150 ms)
-LEFT_SLACK = 3_000  # until a front can have seen that its client went
 EXAMPLES = 20
 
 RULES = ("no query lost", "no effect twice", "drains kept", "cold engines not pushed over", "nothing pinned")
@@ -26,6 +23,20 @@
 UNANSWERED = {"lost", "none"}
 
 
+@dataclass(frozen=True, slots=True)
+class Slack:
+    """What a recording's own delays excuse, in tenths of a millisecond."""
+
+    late: int = 500  # an answer this much after the limit is late by the reader's own doing
+    seen: int = 1_500  # between what a front does and what the far end records of it
+    left: int = 3_000  # until a front can have seen that its client went
+    unseen: int = 2  # times to let go in a row, where a shot to an engine that was down left no trace
+
+
+SOCKETS = Slack()
+EXACT = Slack(0, 0, 0, 1)  # for one simulated clock, with every shot seen
+
+
 @dataclass(slots=True)
 class Judged:
     """One rule over one recording."""
@@ -80,6 +91,7 @@
 
     plan: Plan
     events: list[Event]
+    slack: Slack = SOCKETS
     tries: dict[str, TrySeen] = field(default_factory=dict)
     shots: dict[str, ShotSeen] = field(default_factory=dict)
     front_kills: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))
@@ -89,13 +101,13 @@
     last: int = 0
 
 
-def history(events: list[Event]) -> History:
+def history(events: list[Event], slack: Slack = SOCKETS) -> History:
     """Raises Unreadable where the recording has no plan or names what it never introduced."""
     day = next((event for event in events if event["what"] == "day"), None)
     if day is None:
         raise Unreadable("the recording has no day line")
     try:
-        found = History(msgspec.convert(day["plan"], Plan), events)
+        found = History(msgspec.convert(day["plan"], Plan), events, slack)
     except (msgspec.ValidationError, KeyError) as fault:
         raise Unreadable(f"its day line: {fault}") from None
     sources = {front.source: front.name for front in found.plan.fronts}
@@ -153,9 +165,9 @@
             found.told[event["front"]].append(event)
 
 
-def audit(events: list[Event]) -> dict[str, Judged]:
+def audit(events: list[Event], slack: Slack = SOCKETS) -> dict[str, Judged]:
     """Judges all five rules; raises Unreadable on a recording that cannot be judged."""
-    return judge(history(events))
+    return judge(history(events, slack))
 
 
 def judge(found: History) -> dict[str, Judged]:
@@ -187,20 +199,21 @@
             continue
         end = answer["at"] if answer else found.last
         kind = answer["kind"] if answer else "none"
-        if kind in UNANSWERED and _killed_between(found, asked["front"], asked["t"] - SEEN_SLACK, end):
-            continue  # what a killed front held is no longer its duty
-        judged.cases += 1
         limit = asked["t"] + asked["limit"]
+        if kind in UNANSWERED and _killed_between(found, asked["front"], asked["t"] - found.slack.seen,
+                                                  end if seen.first is not None else min(end, limit)):
+            continue  # what a killed front held is no longer its duty; what it owed before, it was
+        judged.cases += 1
         if kind in UNANSWERED:
             judged.breaks(f"{name}: no final answer ({kind} {answer['code'] if answer else ''})")
-        elif kind != "left" and (seen.first if seen.first is not None else end) > limit + LATE_SLACK:
+        elif kind != "left" and (seen.first if seen.first is not None else end) > limit + found.slack.late:
             late = (seen.first if seen.first is not None else end) - limit
             judged.breaks(f"{name}: {kind} came {late / 10:.0f} ms after the client's time was up")
         if seen.extra:
             judged.breaks(f"{name}: something came after its final answer")
         if seen.gap:
             judged.breaks(f"{name}: its stream has a gap or a repeat")
-        slack = LEFT_SLACK if kind == "left" else SEEN_SLACK
+        slack = found.slack.left if kind == "left" else found.slack.seen
         for shot in seen.shots:
             if answer and shot.at > end + slack:
                 judged.breaks(f"{name}: sent to {shot.engine} {(shot.at - end) / 10:.0f} ms after its end")
@@ -224,10 +237,10 @@
             _exclusive(judged, item, tries, shots)
         elif row.effect == "ticketed":
             for seen in tries:
-                _ticketed(judged, item, seen, row, engines)
+                _ticketed(judged, item, seen, row, engines, found.slack.seen)
         for seen in tries:
             for one, two in pairwise(sorted(seen.shots, key=lambda shot: shot.at)):
-                if one.ended is not None and two.at < one.ended - SEEN_SLACK and one.how != "killed":
+                if one.ended is not None and two.at < one.ended - found.slack.seen and one.how != "killed":
                     judged.breaks(f"{item}: out at {one.engine} and {two.engine} at once")
     return judged
 
@@ -247,7 +260,7 @@
 
 
 def _ticketed(judged: Judged, item: str, seen: TrySeen, row: TariffPlan,
-              engines: dict[str, EnginePlan]) -> None:
+              engines: dict[str, EnginePlan], slack: int) -> None:
     writes = sorted((shot for shot in seen.shots if shot.stage == "write"), key=lambda shot: shot.at)
     ran = next((shot for shot in writes if shot.may_have_run), None)
     if ran is None:
@@ -258,7 +271,7 @@
         near = there.zone == home.zone and (row.group == "zone" or there.rack == home.rack)
         if row.group != "all" and not near:
             judged.breaks(f"{item}: ticketed, sent to {shot.engine} outside the group of {ran.engine}")
-        if shot.at > ran.at + row.window + SEEN_SLACK:
+        if shot.at > ran.at + row.window + slack:
             judged.breaks(f"{item}: ticketed, sent again {(shot.at - ran.at) / 10:.0f} ms after the first")
     if row.group != "all" and seen.answer and seen.answer["kind"] in ("dismissed", "refused"):
         judged.breaks(f"{item}: ticketed, dismissed though it may have run in a group")
@@ -268,7 +281,7 @@
 
 def _drains(found: History) -> Judged:
     judged = Judged()
-    grace = found.plan.drain_grace + SEEN_SLACK
+    grace = found.plan.drain_grace + found.slack.seen
     for front in found.plan.fronts:
         news = _news(found, front.name)
         for engine, lines in news.items():
@@ -293,20 +306,26 @@
 
 
 def _news(found: History, front: str) -> dict[str, list[tuple[int, str]]]:
-    """What a front was told of each engine: time and state. A killed front has forgotten it."""
+    """What a front was told of each engine: time and state. A killed front has forgotten it. Changes that
+    were overtaken by newer ones, or come twice, say nothing."""
     lines: dict[str, list[tuple[int, str]]] = defaultdict(list)
+    versions: dict[str, int] = {}
     changes = [(event["t"], event) for event in found.told[front]]
     changes += [(at, {}) for at in found.front_kills[front]]
     for at, event in sorted(changes, key=lambda change: change[0]):
         if not event:
             for told in lines.values():
                 told.append((at, "on"))
+            versions.clear()
             continue
         named = {engine: state for engine, state, _ in event["engines"]}
         for engine in [*lines] if event["whole"] else []:
             if engine not in named and lines[engine][-1][1] != "gone":
                 lines[engine].append((at, "gone"))
         for engine, state in named.items():
+            if not event["whole"] and event["version"] <= versions.get(engine, -1):
+                continue
+            versions[engine] = event["version"]
             if not lines[engine] or lines[engine][-1][1] != state:
                 lines[engine].append((at, state))
     return lines
@@ -326,7 +345,8 @@
 def _cold_start(judged: Judged, found: History, engine: str, up: Event) -> None:
     start, cold, window = up["t"], up["cold_time"], up["fall_time"]
     work = sorted(((shot.at, up["work"].get(shot.tariff, 0.0), shot.front) for shot in found.shots.values()
-                   if shot.engine == engine and start <= shot.at <= start + cold), key=lambda one: one[0])
+                   if shot.engine == engine and start <= shot.at <= start + cold and shot.stage != "knock"),
+                  key=lambda one: one[0])
     judged.cases += 1
     slack = SLACK_WORK * max(up["work"].values(), default=0.0)
     for last, (at, _, _) in enumerate(work):
@@ -371,10 +391,9 @@
     shot, seen = found.shots.get(start["state"]), found.tries.get(start["try"])
     if shot is None or seen is None:
         return
-    if any(start["t"] <= at <= end for at in found.engine_kills[start["engine"]]):
-        return
-    if _killed_between(found, shot.front, start["t"] - SEEN_SLACK, end):
-        return  # nobody is left to let it go; the engine frees it by itself
+    # Once the front or the engine is killed nobody is left to let it go; until then it was somebody's duty.
+    kills = [*found.engine_kills[start["engine"]], *found.front_kills[shot.front]]
+    end = min([end, *(at for at in kills if at >= start["t"] - found.slack.seen)])
     judged.cases += 1
     free = start["t"]
     longest = 0
@@ -385,9 +404,10 @@
         free = max(free, ended)
     longest = max(longest, end - free)
     # A shot at an engine that was down leaves no trace there, yet its outcome starts the time anew.
-    down = any(start["t"] - SEEN_SLACK <= at + 20 * SEEN_SLACK and at <= end
+    seen_by = found.slack.seen
+    down = any(start["t"] - seen_by <= at + 20 * seen_by and at <= end
                for kills in found.engine_kills.values() for at in kills)
-    allowed = found.plan.release_within * (2 if down else 1) + SEEN_SLACK
+    allowed = found.plan.release_within * (found.slack.unseen if down else 1) + seen_by
     if longest > allowed:
         judged.breaks(f"{start['state']}: held at {start['engine']} for {longest / 10:.0f} ms "
                       f"with no shot out ({how})")
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -124,6 +124,16 @@
     "state kept": (PINNED, lambda: [
         event | ({"t": 18_000} if event["what"] == "taken" else {})
         for event in clean() if event.get("request") != "1.1.2"]),
+    "state kept, its front killed long after": (PINNED, lambda: [
+        *(event | ({"t": 30_000} if event["what"] == "taken" else {})
+          for event in clean() if event.get("request") != "1.1.2"),
+        say(29_000, "killed", process="front-0", front="front-0")]),
+    "no answer, its front killed long after": (
+        LOST, lambda: [*without(clean(), "answer", "first", "end"),
+                       say(90_000, "killed", process="front-0", front="front-0")]),
+    "sent after a drain that late news overtook": (DRAINS, lambda: [
+        *clean(), say(2_500, "told", front="front-0", version=1, whole=False, engines=[["e1", "on", 0]]),
+        *shot(9_000, 9_010, 3, "e1", "read", try_="0.1", how="read", ran=False)]),
     "state never let go": (PINNED, lambda: [
         event for event in without(clean(), "taken") if event.get("request") != "1.1.2"]),
 }
--- a/tests/test_doctored.py
+++ b/tests/test_doctored.py
@@ -16,7 +16,7 @@
 from runspool.decisions.rules import Rules
 from runspool.engines import ENDINGS, Mishap
 from runspool.lab import recording
-from runspool.lab.audit import RULES, audit
+from runspool.lab.audit import RULES, Slack, audit
 from runspool.lab.clients import Clients, Entry
 from runspool.lab.crowd import Item
 from runspool.lab.engine import Engine
@@ -81,7 +81,7 @@
         taken = front.queries[query]
         second = taken.headers | {"X-Request-Id": f"{taken.id}.again"}
         if taken.shots:
-            front._spawn(_listenless, front, taken.wish.body, second, front.addresses[engine],
+            front._spawn(_listenless, front, taken.wish.body, second, front.sites[engine].address,
                          taken.state)
         sound(front, query, engine, cap)
 
@@ -97,7 +97,7 @@
         async def said(self, text: str) -> None:
             return
 
-    await front.caller.write(address, body, state, headers, 20_000, 1000, Deaf())
+    await front.caller.write(address, body, state, headers, 20_000, lambda: False, 1000, Deaf())
 
 
 def gives_no_answer(patch: pytest.MonkeyPatch) -> None:
@@ -184,8 +184,7 @@
         doctor(monkeypatch)
     monkeypatch.setattr(Engine, "fall", lambda engine: None)  # one that falls goes on, noted
     # All runs in one process here: what a busy machine delays is no breach, and the doctored overdo it.
-    monkeypatch.setattr("runspool.lab.audit.SEEN_SLACK", 4_000)
-    monkeypatch.setattr("runspool.lab.audit.LATE_SLACK", 4_000)
+    slack = Slack(late=4_000, seen=4_000)
     town = Town(tmp_path, KINDS)
     for at, one in enumerate(town.plan.engines):
         one.make = replace(one.make, zone="ab"[at % 2],
@@ -204,7 +203,7 @@
                 await anyio.sleep(0.01)
         await anyio.sleep(said.get("held_on", 0))  # a state is pinned by being there for so long
         town.record.line("over")
-    found = audit(list(recording.read(town.file)))
+    found = audit(list(recording.read(town.file)), slack)
     broken = {name: judged.broken for name, judged in found.items() if judged.broken}
     assert found[rule].cases
     assert (broken.get(rule, 0) > 0) if doctored else not broken, [one.examples for one in found.values()]
