Cut from the decisions: a later try's first time, its special due time, a full's ban

`born` kept 3,000 first tries, one for every query without a session among them, which pushed out those that it was for. A full for one tenant banned its engine for all.

Not cut: readers' balance by rack.

--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -55,7 +55,6 @@
 WAIT_LOAD = SECOND  # wait at a writer or for a rack's link that counts as a full load
 ZONE_LINK = 2.5  # times a move to another zone weighs beside one to another rack
 KEPT_TEXTS = 500  # an engine; what an engine read that many texts ago it has given up
-FIRSTS = 3000  # first tries remembered
 LEFT_KEPT = 50  # engines that left, of which what was learned is kept should they come back
 READ_WEIGHT = 3  # times a read's own time that its tokens count for in the pick
 HOMES = 3.0  # readers' fair parts that a popular beginning is spread over
@@ -126,7 +125,6 @@
         self.carried = self.borne = 0.0  # own streams a writer, and their part of the writers' memory
         self.beginnings: list[int] = []  # those of the last queries
         self.balance: dict[int, float] = {}  # rack: its writers under the threshold a reader, 1 is usual
-        self.firsts: dict[tuple[int | None, int], int] = {}  # session and prompt: when its first try came
         self.room: list[tuple[bool, int, int]] = []  # reads held at the front, the most pressing first
 
     def query(self, q: Query) -> Generator[Ask, Any, None]:
@@ -150,14 +148,12 @@
         q.luck, q.homes, row = self.draw(), self.homes(q), self.row(q)
         exclusive, ticketed = row.terms.effect is Effect.EXCLUSIVE, row.terms.effect is Effect.TICKETED
         limit = self.now + q.budget - MARGIN
-        due = min(limit, self.born(q) + row.terms.due + row.terms.due_per_1000 * q.prompt // 1000)
-        late = due < self.now + LEAST_CAP
-        due = limit if late else due
+        due = min(limit, self.now + row.terms.due + row.terms.due_per_1000 * q.prompt // 1000)
         self.survey()
         seen = self.carried / (EVIDENCE + self.carried)  # who sees little of the queues hopes for less
         patience = BLIND_PATIENCE + (PATIENCE - BLIND_PATIENCE) * seen
         latest = self.now + int((due - self.now) * patience)
-        over = self.over_share(q) or late
+        over = self.over_share(q)
         line = int(min(t.terms.due for t in self.tariffs) * (OVER_SHARE_LINE if over else LINE))
         # Gain brings a query forward; time spent waiting does too, so that no tariff starves.
         place = (over, self.now + int((due - self.now) / max(row.terms.gain, 0.1)), q.index)
@@ -470,14 +466,6 @@
         part = COLD_SAFETY * self.terms.fall_multiple * warmth / max(1, peers)
         return (luck + e.id * GOLDEN) % 1 < part
 
-    def born(self, q: Query) -> int:
-        """Against taking a client's later try for a new query: its due time has run since the first."""
-        first = self.firsts.pop((q.session, q.prompt), self.now) if q.session is not None else self.now
-        self.firsts[q.session, q.prompt] = first  # marked as a retry or not
-        if len(self.firsts) > FIRSTS:
-            del self.firsts[next(iter(self.firsts))]
-        return first
-
     def over_share(self, q: Query) -> bool:
         if q.tenant is None:
             return False
@@ -527,7 +515,6 @@
         elif out.ending is Ending.FULL:
             if e.role is not Role.READER and not e.cap:
                 e.cap = max(e.tokens + int(self.others(e)), e.memory // 2)
-            e.shunned = max(e.shunned, self.now + BACKOFF)
         elif out.ending not in (Ending.STATELESS, Ending.VOID, Ending.RECALLED):
             late = out.ending is Ending.OVERDUE
             if late and tokens:  # else only the lucky would tell how long one takes
