Every stage of a query ended by cancel, hard limit, engine's loss and stop, on sockets

Seven stages by four ways, one exclusive query each: one final answer of an allowed kind at most, the write sent once at most, books, watches and connections empty, states let go.

--- a/tests/town.py
+++ b/tests/town.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import anyio
+from anyio.abc import TaskStatus
 import h11
 import msgspec
 
@@ -82,6 +83,7 @@
         self.listing = Listing(self.record, 0)
         self.engines = [Engine(one.make, self.record, False, at) for at, one in enumerate(self.plan.engines)]
         self.started = [0] * len(self.engines)  # Unix milliseconds, 0 for long ago
+        self.lives: dict[int, anyio.CancelScope] = {}
         self.bounds = bounds
         self.running: Running
         self.port = 0
@@ -91,8 +93,8 @@
         """All of it running; whatever still runs at the end is cancelled."""
         async with anyio.create_task_group() as tasks:
             await tasks.start(self.listing.run, "127.0.0.1", 0)
-            for at, one in enumerate(self.engines):
-                self.plan.engines[at].port = await tasks.start(one.run, "127.0.0.1", 0)
+            for at in range(len(self.engines)):
+                self.plan.engines[at].port = await tasks.start(self._engine, at)
                 self.tell(at, "on")
             said = front_terms(self.plan, 0, self.listing.port, self.folder)
             said["front"]["bounds"] |= self.bounds
@@ -104,6 +106,16 @@
             self.running.stop()
             tasks.cancel_scope.cancel()
 
+    async def _engine(self, at: int, *, task_status: TaskStatus[int]) -> None:
+        with anyio.CancelScope() as self.lives[at]:
+            await self.engines[at].run("127.0.0.1", 0, task_status=task_status)
+
+    def kill(self, at: int) -> None:
+        """An engine goes, with all its connections and states."""
+        self.record.line("killed", process=f"e{at}", engine=f"e{at}")
+        self.engines[at].model.states.clear()
+        self.lives[at].cancel()
+
     def tell(self, at: int, state: str) -> None:
         one = self.plan.engines[at]
         self.listing.set(msgspec.convert({
