--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -9,13 +9,17 @@
 import msgspec
 import pytest
 
+from runspool.decisions.interface import Role
 from runspool.lab.audit import audit
 from runspool.lab.retrace import retrace
+from runspool.roster.following import GONE_KEPT
 from runspool.roster.memory import keep
 from runspool.service.front import _Hearing
 from runspool.service.taken import Final, Kind, Taken
+from runspool.sockets import lines
 from runspool.wire.completions import read_wish
 from runspool.wire.listing import Entry
+from tests.histories import leftovers
 from tests.town import Town, answered
 
 pytestmark = pytest.mark.anyio
@@ -275,6 +279,123 @@
         assert not town.running.front.queries
 
 
+async def test_a_fault_while_an_answer_streams_calls_its_shot_back(tmp_path: Path) -> None:
+    async with Town(tmp_path, ["prefill", "decode"]).open() as town:
+        front = town.running.front
+        front.desk.rules.learn = lambda *_: 1 // 0  # type: ignore[method-assign, assignment]
+        answer = await town.ask(out=200)
+        assert answer.error["type"] == "scrapped" if answer.status != 200 else b"scrapped" in answer.body
+        with anyio.fail_after(10):
+            while front.queries or leftovers(front) or any(one.live for one in town.engines):
+                await anyio.sleep(0.01)
+        assert front.counts["taken"] == front.counts["scrapped"] == 1
+
+
+async def test_a_shot_still_connecting_as_its_engine_drains_is_not_sent(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async with Town(tmp_path, ["prefill", "decode", "decode"]).open() as town:
+        dialled, go, sound = anyio.Event(), anyio.Event(), lines.dial
+        to: list[int] = []
+
+        async def dial(address: tuple[str, int], source: str | None) -> lines.Line:
+            if address[1] != town.plan.engines[0].port and not to:
+                to.append([one.port for one in town.plan.engines].index(address[1]))
+                dialled.set()
+                await go.wait()
+            return await sound(address, source)
+
+        monkeypatch.setattr("runspool.engines.connections.dial", dial)
+        answers = []
+
+        async def ask() -> None:
+            answers.append(await town.ask("book"))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask)
+            with anyio.fail_after(10):
+                await dialled.wait()
+                town.tell(to[0], "draining")
+                while town.running.front.desk.rules.engines[to[0]].on:
+                    await anyio.sleep(0.005)
+            go.set()
+        assert answers[0].status == 200
+        assert {event["engine"] for event in town.seen("arrived", stage="write")} == {f"e{3 - to[0]}"}
+
+
+async def test_an_engine_back_as_another_kind_is_spoken_to_as_that(tmp_path: Path) -> None:
+    async with Town(tmp_path, ["prefill", "decode", "decode"]).open() as town:
+        front = town.running.front
+        town.plan.engines[1].kind = "prefill"
+        town.tell(1, "on")
+        with anyio.fail_after(10):
+            while front.desk.rules.engines[1].role is not Role.READER:
+                await anyio.sleep(0.005)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(8):
+                tasks.start_soon(town.ask)
+        assert {event["stage"] for event in town.seen("arrived", engine="e1")} <= {"read"}
+        assert len(town.seen("ran", engine="e2")) == 8
+        # A kind that this front does not know: nothing is known of what it can do, or whether it drains.
+        town.plan.engines[1].kind = "novel"
+        town.tell(1, "draining")
+        with anyio.fail_after(10):
+            while front.desk.rules.engines[1].on:
+                await anyio.sleep(0.005)
+        assert (await town.ask()).status == 200
+
+
+async def test_the_look_for_poison_holds_nobody_who_leaves(tmp_path: Path,
+                                                           monkeypatch: pytest.MonkeyPatch) -> None:
+    async with Town(tmp_path, ["prefill", "decode"]).open() as town:
+        front, looks = town.running.front, anyio.Event()
+
+        async def answers(address: tuple[str, int]) -> bool:
+            looks.set()
+            await anyio.sleep_forever()
+            return True
+
+        monkeypatch.setattr(front.caller, "answers", answers)
+        monkeypatch.setattr("runspool.service.front.LOOK_LIMIT", 60.0)
+        town.engines[1].fault("row", row="reset_after", share=1.0)
+        with anyio.fail_after(10):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(town.ask)
+                await looks.wait()
+                tasks.cancel_scope.cancel()
+            while front.queries:
+                await anyio.sleep(0.01)
+        assert front.counts["left"] == 1
+        assert leftovers(front) == []
+        assert not front.counts["poisonous"]
+
+
+async def test_what_is_known_of_engines_that_left_is_bounded(tmp_path: Path) -> None:
+    async with Town(tmp_path, ["prefill", "decode"]).open() as town:
+        front = town.running.front
+        for number in range(GONE_KEPT + 200):
+            for state in ("on", "gone"):
+                entry = Entry(f"n{number}", f"127.0.0.1:{number + 1}", "decode", "a", 0, "on")
+                front.engines_changed([msgspec.structs.replace(entry, state=state)])
+        assert len(front.sites) == len(front.lines) == len(front.engine_door) <= GONE_KEPT + 2
+        assert (await town.ask()).status == 200
+
+
+async def test_the_thread_that_keeps_the_list_has_a_copy_of_its_own(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    given: list[list[Entry]] = []
+    monkeypatch.setattr("runspool.service.running.keep", lambda path, version, engines: given.append(engines))
+    async with Town(tmp_path, ["prefill", "decode"]).open() as town:
+        with anyio.fail_after(10):
+            while not given or len(given[-1]) < 2:
+                await anyio.sleep(0.005)
+        had = list(given[-1])
+        entries = town.running.front.following.entries
+        entries.clear()
+        assert given[-1] == had
+        with pytest.raises(AttributeError):
+            had[0].state = "gone"  # type: ignore[misc]
+
+
 async def test_the_same_news_brings_the_same_asks(tmp_path: Path) -> None:
     tape = tmp_path / "front.tape"
     async with Town(tmp_path, ["prefill", "prefill", "decode", "mixed"]).open(tape) as town:
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 
+from runspool.engines import Mishap
 from runspool.service.taken import Final, Kind
 from runspool.sockets import lines
 from runspool.wire.completions import read_wish
@@ -192,6 +193,31 @@
         tasks.cancel_scope.cancel()
 
 
+@pytest.mark.anyio
+async def test_a_stop_waits_for_states_to_be_let_go(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Three calls are lost: the fourth comes when the answer has long been written."""
+    town = Town(tmp_path, KINDS, drain_ms=100)
+    town.plan.release_within = 20_000
+    query = Query(town, LONG_MS)
+    async with town.open(), anyio.create_task_group() as tasks:
+        caller, calls = town.running.front.caller, []
+        sound = caller.release
+
+        async def release(*said: Any) -> Mishap | None:
+            calls.append(said)
+            return Mishap.REFUSED if len(calls) < 4 else await sound(*said)
+
+        monkeypatch.setattr(caller, "release", release)
+        town.engines[0].fault("hang", on=True)
+        tasks.start_soon(query.ask, 5)
+        with anyio.fail_after(15):
+            await state_held(town, query, monkeypatch)
+            town.running.stop()
+            await query.over.wait()
+            await town.until("released")
+        tasks.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize("order", ["cancel and limit", "limit and cancel",
                                    "end and cancel", "cancel and end"])
 def test_two_ends_at_one_instant_are_one(order: str, monkeypatch: pytest.MonkeyPatch) -> None:
