A front asks the wall clock at each new start of an engine, and keeps the starts it knows

Seen by reading: engines' starts were turned into the front's clock by the difference of the clocks at its own start (service/front.py: wall_at_zero). Excluded: slewing, which stays within milliseconds. Asking anew for every line would change each known start by the rounding, and a changed start is a new process without books; so a start that is known keeps its time.

--- a/runspool/service/front.py
+++ b/runspool/service/front.py
@@ -83,7 +83,6 @@
         self.tenants = {name: at for at, name in enumerate(terms.house.tenants)}
         self.kinds = {name: at for at, name in enumerate(terms.house.kinds)}
         self.zones = {name: at for at, name in enumerate(terms.house.zones)}
-        self.wall_at_zero = unix_ms_at_zero()
         self.engine_door = Door()
         self.text_door = Door(NAMES_KNOWN, NAME_KEPT)
         self.sites: dict[int, Site] = {}
@@ -452,9 +451,13 @@
             self.sites[before.engine] = replace(self.sites[before.engine], on=False)
             return replace(before, state="gone")
         index = self.engine_door.index(entry.engine)
-        self.sites[index] = Site(entry.engine, address, self.house.kinds[kind].role, entry.state == "on")
-        return Listed(index, kind, self.zones.get(entry.zone, -2), entry.rack,
-                      started(entry, self.wall_at_zero), entry.state, mark(entry.engine))
+        before, since = self.lines.get(entry.engine), started(entry, unix_ms_at_zero())
+        if before is not None and self.sites[index].started_unix_ms == entry.started_unix_ms:
+            since = before.started  # the wall clock may have been set since: still the same start
+        self.sites[index] = Site(entry.engine, address, self.house.kinds[kind].role, entry.state == "on",
+                                 entry.started_unix_ms)
+        return Listed(index, kind, self.zones.get(entry.zone, -2), entry.rack, since, entry.state,
+                      mark(entry.engine))
 
     def _passed_on(self, wish: Wish) -> dict[str, str]:
         said = {"Runspool-Mark": wish.mark, "Runspool-Tariff": wish.tariff, "Runspool-Tenant": wish.tenant,
--- a/runspool/service/taken.py
+++ b/runspool/service/taken.py
@@ -40,6 +40,7 @@
     address: Address
     role: Role
     on: bool
+    started_unix_ms: int
 
 
 class Reply(Protocol):
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -383,7 +383,7 @@
     def say(self, what: str, **said: Any) -> None:
         self.events.append({"t": now(), "what": what, **said})
 
-    def spawn(self, work: Callable[..., Coroutine[Any, Any, None]], *args: Any) -> None:
+    def spawn(self, work: Callable[..., Coroutine[Any, Any, Any]], *args: Any) -> None:
         self.tasks.start_soon(partial(work, *args))
 
     def at(self, address: Address) -> Played:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -14,6 +14,7 @@
 from runspool.lab.retrace import retrace
 from runspool.roster.following import GONE_KEPT
 from runspool.roster.memory import keep
+from runspool.service.clock import unix_ms, unix_ms_at_zero
 from runspool.service.front import _Hearing
 from runspool.service.taken import Final, Kind, Taken
 from runspool.sockets import lines
@@ -369,6 +370,28 @@
         assert not front.counts["poisonous"]
 
 
+async def test_an_engine_is_cold_to_a_front_whose_wall_clock_was_set_back(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async with Town(tmp_path, ["prefill", "decode", "decode"]).open() as town:
+        front, hour = town.running.front, 3_600_000
+        town.started[1] = unix_ms() - 30_000
+        town.tell(1, "on")
+        rules = front.desk.rules
+        with anyio.fail_after(10):
+            while not rules.engines[1].started:
+                await anyio.sleep(0.005)
+        known = rules.engines[1].started
+        monkeypatch.setattr("runspool.service.front.unix_ms_at_zero", lambda: unix_ms_at_zero() - hour)
+        town.tell(1, "draining")
+        town.started[2] = unix_ms() - hour
+        town.tell(2, "on")
+        with anyio.fail_after(10):
+            while not rules.engines[2].started:
+                await anyio.sleep(0.005)
+        assert rules.warmth(rules.engines[2]) < 0.5
+        assert rules.engines[1].started == known
+
+
 async def test_what_is_known_of_engines_that_left_is_bounded(tmp_path: Path) -> None:
     async with Town(tmp_path, ["prefill", "decode"]).open() as town:
         front = town.running.front
