--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -15,16 +15,13 @@
 import msgspec
 import pytest
 
-from runspool.decisions.rules import Rules
-from runspool.decisions.interface import Ending, Listed
-from runspool.engines import ENDINGS, Mishap
 from runspool.lab.audit import EXACT, RULES, audit
 from runspool.lab.recording import Event
 from runspool.service.front import GUARD, Front
-from runspool.wire.listing import Entry
 from tests import clockwork
 from tests.conftest import JUDGED
 from tests.histories import Days, Recorded, World
+from tests.test_doctored import does_not_hear_of_drains, forgets_that_it_may_have_run, takes_cold_for_warm
 
 LOST, TWICE, DRAINS, COLD, PINNED = RULES
 SEEDS = range(1, 9)
@@ -104,24 +101,6 @@
                   lambda front, token: None if token.startswith(GUARD) else sound(front, token))
 
 
-def forgets_that_it_may_have_run(patch: pytest.MonkeyPatch) -> None:
-    for mishap in (Mishap.CUT_AFTER_LAST_BYTE, Mishap.FAILED):
-        patch.setitem(ENDINGS, mishap, Ending.UNREACHABLE)
-
-
-def does_not_hear_of_drains(patch: pytest.MonkeyPatch) -> None:
-    sound = Front._listed
-
-    def listed(front: Front, entry: Entry) -> Listed | None:
-        return sound(front, msgspec.structs.replace(entry, state="on"))
-
-    patch.setattr(Front, "_listed", listed)
-
-
-def takes_cold_for_warm(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Rules, "bears", lambda *said: True)
-
-
 def lets_no_state_go(patch: pytest.MonkeyPatch) -> None:
     async def let_go(front: Front, *said: Any) -> None:
         return
