--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from contextlib import suppress
+from dataclasses import replace
 from pathlib import Path
+from typing import Any, cast
 
 import anyio
 import msgspec
@@ -129,6 +131,15 @@
         assert passed == ["before"]
 
 
+async def test_late_news_for_a_closed_cell_opens_no_desk(tmp_path: Path) -> None:
+    async with Town(tmp_path, ["prefill", "decode"]).open() as town:
+        front = town.running.front
+        wish = read_wish({"runspool-tariff": "ask"}, b'{"prompt": "x"}', front.terms)
+        stay = replace(front._let_in(wish), cell="closed")
+        front._leave(Taken(0, "q", wish, cast(Any, None), 0, 10, {}, stay))
+        assert front.quarters.keys() == {"whole"}
+
+
 async def test_no_engine_at_all_is_a_dismissal_in_time(tmp_path: Path) -> None:
     async with Town(tmp_path, ["prefill", "decode"]).open() as town:
         town.tell(0, "gone")
