A killed front's tasks end in the order they began, so that a history is the same

A kill cancelled the task group, which keeps its tasks in a set; the scripted engines drew for them in that order.

--- a/tests/histories.py
+++ b/tests/histories.py
@@ -305,6 +305,34 @@
         self.world.left_over.append(f"{event}: {said}")
 
 
+class _Tasks:
+    """A front's tasks, so that a kill ends them in the order in which they began. A task group keeps them in
+    a set, whose order is another in each process."""
+
+    def __init__(self, tasks: TaskGroup) -> None:
+        self.tasks = tasks
+        self.scopes: dict[anyio.CancelScope, None] = {}
+        self.over = False
+
+    def start_soon(self, work: Callable[..., Coroutine[Any, Any, Any]], *args: Any) -> None:
+        self.tasks.start_soon(self._run, work, args)
+
+    async def _run(self, work: Callable[..., Coroutine[Any, Any, Any]], args: tuple[Any, ...]) -> None:
+        if self.over:
+            return
+        with anyio.CancelScope() as scope:
+            self.scopes[scope] = None
+            try:
+                await work(*args)
+            finally:
+                del self.scopes[scope]
+
+    def end(self) -> None:
+        self.over = True
+        for scope in list(self.scopes):
+            scope.cancel()
+
+
 class Life:
     """One front from its start to its stop or kill."""
 
@@ -321,8 +349,9 @@
     async def run(self) -> None:
         with self.scope:
             async with anyio.create_task_group() as tasks:
-                self.front.tasks = tasks
-                tasks.start_soon(self.front.timers.run)
+                self.tasks = _Tasks(tasks)
+                self.front.tasks = cast(TaskGroup, self.tasks)
+                self.tasks.start_soon(self.front.timers.run)
                 self.up = True
                 if self.told:
                     self.hear(self.world.whole())
@@ -341,6 +370,7 @@
         self.up = False
         name = self.world.plan.fronts[self.at].name
         self.world.say("killed", process=name, front=name)
+        self.tasks.end()
         self.scope.cancel()
 
 
