A stopped node moves its streams in the last second; the rest of a stream is not dismissed

Debug logs of both nodes: at each planned stop some 40 streams were still running when the kill came, and only 23 of 85 came again. Ruled out: list changes, SIGHUP (no shot fell in them), engines that left (13 streams, all of which came again). Faulty lines: node/running.py let streams run into the kill; rules.py took `again` for nothing.

Now Rules.leave() moves begun streams in the last second, newest first, and what comes again has until its hard limit and goes first in the line.

--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -148,7 +148,9 @@
         q.luck, q.homes, row = self.draw(), self.homes(q), self.row(q)
         exclusive, ticketed = row.terms.effect is Effect.EXCLUSIVE, row.terms.effect is Effect.TICKETED
         limit = self.now + q.budget - MARGIN
-        due = min(limit, self.now + row.terms.due + row.terms.due_per_1000 * q.prompt // 1000)
+        # Against dismissing the rest of a stream, whose beginning would be lost too: it has until the limit.
+        due = limit if q.again else min(limit, self.now + row.terms.due
+                                        + row.terms.due_per_1000 * q.prompt // 1000)
         self.survey()
         seen = self.carried / (EVIDENCE + self.carried)  # who sees little of the queues hopes for less
         patience = BLIND_PATIENCE + (PATIENCE - BLIND_PATIENCE) * seen
@@ -156,7 +158,7 @@
         over = self.over_share(q)
         line = int(min(t.terms.due for t in self.tariffs) * (OVER_SHARE_LINE if over else LINE))
         # Gain brings a query forward; time spent waiting does too, so that no tariff starves.
-        place = (over, self.now + int((due - self.now) / max(row.terms.gain, 0.1)), q.index)
+        place = (over, self.now + int((due - self.now) * (not q.again) / max(row.terms.gain, 0.1)), q.index)
         state: Engine | None = None
         held = shots = ran_at = 0  # held: since when the state waits
         ran: Engine | None = None  # the first engine whose shot may have run
@@ -235,6 +237,19 @@
             if mine and (victim := self.overload()) is not None:
                 yield Move(victim)
 
+    def leave(self, by: int) -> Generator[Ask, Any, None]:
+        """This front is killed after `by`: its streams go on elsewhere before that, or they would break. As
+        late as can be, for others may be restarting too, the newest first and spread over a second."""
+        yield Wait(max(self.now, by - SECOND))
+        while self.terms.resumes and self.now < by:
+            begun = [i for e in self.writers() for i in e.streams if i not in e.waiting]
+            if begun:
+                yield Move(max(begun))
+            yield Wait(min(by, self.now + max(RETRY, (by - self.now) // (len(begun) + 1))))
+        for e in self.writers() if self.terms.resumes else ():
+            for i in [i for i in e.streams if i not in e.waiting]:
+                yield Move(i)
+
     def roster(self, roster: Roster) -> None:
         named = [line.engine for line in roster.engines]
         for line in roster.engines:
--- a/runspool/front/desk.py
+++ b/runspool/front/desk.py
@@ -26,7 +26,7 @@
 )
 from runspool.decisions.rules import Rules
 
-BACKGROUND = -1
+BACKGROUND, LEAVING = -1, -2
 
 
 class Outbox(Protocol):
@@ -130,6 +130,12 @@
             if not errand.out:
                 self._step(index, errand, None)
 
+    def leave(self, now: int, by: int) -> None:
+        """The front is stopped on purpose, and may be killed after `by`."""
+        with self._entered(now):
+            errand = self.errands[LEAVING] = Errand(None, self.rules.leave(by))
+            self._step(LEAVING, errand, None)
+
     def drop(self, now: int, index: int) -> bool:
         """Ends an errand whose decisions failed: what it holds is let go of. False where there is none."""
         with self._entered(now):
@@ -139,7 +145,7 @@
             errand.steps.close()
             if index == BACKGROUND:
                 self._watch()
-            else:
+            elif errand.query is not None:
                 self.outbox.forget(index)
             return True
 
@@ -168,7 +174,7 @@
                 ask = errand.steps.send(news)
             except StopIteration:
                 del self.errands[index]
-                if index != BACKGROUND:
+                if errand.query is not None:
                     out.forget(index)
                 return
             news = None
--- a/runspool/lab/retrace.py
+++ b/runspool/lab/retrace.py
@@ -11,7 +11,7 @@
 from runspool.decisions.interface import HouseTerms, Listed, Outcome, Query, Roster
 from runspool.front import Desk
 
-NEWS = {"start", "arrive", "begun", "closed", "left", "rang", "roster", "list_failed", "drop"}
+NEWS = {"start", "arrive", "begun", "closed", "left", "rang", "roster", "list_failed", "drop", "leave"}
 
 
 class Unplayable(Exception):
@@ -117,5 +117,7 @@
             desk.rang(at, said[0])
         case "roster":
             desk.roster(at, Roster(said[0], msgspec.convert(said[1], list[Listed])))
+        case "leave":
+            desk.leave(at, said[0])
         case "list_failed":
             desk.list_failed(at)
--- a/runspool/node/node.py
+++ b/runspool/node/node.py
@@ -10,6 +10,7 @@
 
 from runspool.decisions.interface import Ending, Role
 from runspool.engines.exchange import Barred, Ended
+from runspool.front.desk import LEAVING
 from runspool.node.asks import Ask, Misworded
 from runspool.node.calls import Calls
 from runspool.node.posting import Posting
@@ -67,6 +68,7 @@
                            now, STREAM_SILENCE_MS)
         self.calls.pool.most = connections
         self.open: set[str] = set()  # ids of the queries held
+        self.leaves_by = 0
         self.quarter = Quarter(DESK, granted.terms, posting.seed, self, Tape(None))
 
     # What comes in.
@@ -79,16 +81,26 @@
             raise Misworded("Req-Id", "a request with this id is open here", 409)
         at, index = now(), self.arrived
         self.arrived += 1
-        taken = Held(index, ask.id, came, came + ask.limit, ask=ask, reply=reply)
+        limit = min(came + ask.limit, self.leaves_by or came + ask.limit)
+        taken = Held(index, ask.id, came, limit, ask=ask, reply=reply)
         session = None if ask.session is None else self.text_door.index("s" + ask.session, at)
         beginning = None if ask.beginning is None else self.text_door.index("b" + ask.beginning, at)
         # The answer still has to reach the client within its time.
         budget = max(0, taken.limit - self.house.answer_slack - at)
+        self.counts["again"] += ask.again
+        self.counts["resent"] += ask.resent
+        self.log.debug("query_taken", query=ask.id, tariff=ask.tariff, prompt=ask.prompt, limit=ask.limit,
+                       again=ask.again, resent=ask.resent)
         self.open.add(ask.id)
         self.owe(taken)
         self._tell(self.quarter, index, Quarter.arrive, ask.query(index, session, beginning, budget))
         return taken
 
+    def leave(self, by: int) -> None:
+        """This node may be killed after `by`: what is taken from now on must be answered sooner."""
+        self.leaves_by = by
+        self._tell(self.quarter, LEAVING, Quarter.leave, by)
+
     def relisted(self) -> None:
         self.quarter.told({line.engine: line for line in self.lines.values() if line.state != "gone"})
 
--- a/runspool/node/running.py
+++ b/runspool/node/running.py
@@ -24,7 +24,10 @@
 SWEEP = 0.5  # seconds between looks for idle connections
 RESERVE = 28  # descriptors for the list, the listener, the loop and what the interpreter opens
 CLIENTS_PART = 0.45  # of the rest; requests take a third of all at most, silent clients may be dropped
-STILL_COMING = 0.6  # seconds after SIGTERM that new connections and requests are taken as before
+LONGEST_COUNTED = 30_000  # tenths of a millisecond: a hard limit beyond it puts off the kill no further
+KILL_AFTER = 7_000  # beyond the longest hard limit: no sooner does a kill follow SIGTERM
+KILL_MARGIN = 5_000  # before that, by when nothing may be held any more
+LAST_TAKEN = 12_000  # and before that again, so that what is taken last can still be answered
 LIST_BYTES = 16 << 20
 LONGEST_STOP = 60.0  # seconds that running streams may take to their end
 
@@ -95,7 +98,10 @@
         """The listener stays open to the end: what the kernel accepted counts as taken."""
         node = self.node
         self.log.info("node_stopping", node=self.posting.name, queries=len(node.queries))
-        await anyio.sleep(STILL_COMING)
+        at = now()
+        by = at + min(LONGEST_COUNTED, max(self.posting.granted.hard_limits)) + KILL_AFTER - KILL_MARGIN
+        node.leave(by)
+        await anyio.sleep((by - LAST_TAKEN - at) / 10_000)
         node.closing = True
         for intake, scope in list(self.clients.items()):
             if intake.idle_since:
--- a/runspool/service/carrying.py
+++ b/runspool/service/carrying.py
@@ -208,7 +208,7 @@
         self.counts[f"shot_{ended.ending.name.lower()}"] += 1
         self.log.debug("shot_ended", query=taken.id, shot=shot, engine=site.name,
                        ending=ended.ending.name, mishap=ended.mishap and ended.mishap.name,
-                       detail=ended.detail, took=at - sent, kept=ended.kept)
+                       detail=ended.detail, took=at - sent, kept=ended.kept, made=ended.made)
         outcome = Outcome(ended.ending, at - sent, ended.kept, ended.report)
         if taken.index in self.queries:
             self._tell(self.desk_of(taken), taken.index, Quarter.closed, taken.index, shot, outcome, over)
--- a/runspool/service/quarter.py
+++ b/runspool/service/quarter.py
@@ -61,6 +61,10 @@
         """Ends a query whose decisions failed; nothing where there is none."""
         self._news("drop", self.desk.drop, query)
 
+    def leave(self, by: int) -> None:
+        """The front is stopped on purpose, and may be killed after `by`."""
+        self._news("leave", self.desk.leave, by)
+
     def list_lost(self) -> None:
         self._news("list_failed", self.desk.list_failed)
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -303,6 +303,25 @@
         assert await asyncio.wait_for(platform.process.wait(), 15) == 0
 
 
+async def test_a_stream_that_cannot_end_before_the_kill_is_moved(tmp_path: Path) -> None:
+    async def begins(asked: Request) -> None:
+        await asked.say(STREAM + chunked(EVENTS[0]))
+        await asked.closed()
+        gone.set()
+
+    gone = asyncio.Event()
+    async with Platform(tmp_path, PAIR).open() as platform:
+        platform.engines["w"].scripts = [begins]
+        running = await platform.client()
+        running.send(post("q1"))
+        answer = await running.head()
+        platform.signal(signal.SIGTERM)
+        answer = await running.rest(answer)
+        assert (answer.body, answer.whole) == (EVENTS[0], False)  # its client comes again for the rest
+        await asyncio.wait_for(gone.wait(), 15)
+        assert await asyncio.wait_for(platform.process.wait(), 15) == 0
+
+
 async def test_sighup_moves_the_list_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
     async with Platform(tmp_path, PAIR).open() as platform:
         (tmp_path / "config.json").write_text("{oops")
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -57,6 +57,31 @@
         self.assertEqual([word for word, _ in host.said].count("move"), 1)
 
 
+    def test_a_front_that_is_stopped_moves_its_streams_in_the_last_second_newest_first(self) -> None:
+        host = FakeHost([READER, WRITER])
+        asked = []
+        for _ in range(3):
+            asked.append(host.ask())
+            host.end(asked[-1], Ending.READ)
+            host.begin(asked[-1])
+        host.desk.leave(host.now, host.now + 3 * SECOND)
+        host.wait(2 * SECOND - 1)
+        self.assertNotIn("move", [word for word, _ in host.said])
+        host.wait(2)
+        self.assertEqual([whose for word, whose in host.said if word == "move"], [asked[-1]])
+        host.end(asked[-1], Ending.RECALLED, over=True)
+        host.wait(SECOND)
+        self.assertEqual({whose for word, whose in host.said if word == "move"}, set(asked))
+
+    def test_the_rest_of_a_stream_is_not_dismissed_where_a_first_try_is(self) -> None:
+        for again, ends in ((False, ["dismiss"]), (True, [])):
+            host = FakeHost([READER, WRITER])
+            host.luck = 0.9
+            host.desk.rules.engines[0].unread = 4_000
+            one = host.ask(again=again)
+            self.assertEqual([word for word in host.of(one) if word == "dismiss"], ends)
+
+
 class TheRules(unittest.TestCase):
     def test_an_exclusive_shot_that_may_have_run_is_scrapped(self) -> None:
         host = FakeHost([READER, MIXED, MIXED], terms(Effect.EXCLUSIVE))
