Tests of beliefs, drains while connecting, descriptors; whoever is turned away reads its answer

Eight at a time are listened to for half a second. A cancelled node closes its connections to engines and list. Docs of the node.

--- a/runspool/node/running.py
+++ b/runspool/node/running.py
@@ -29,6 +29,7 @@
 KILL_MARGIN = 5_000  # before that, by when nothing may be held any more
 LAST_TAKEN = 12_000  # and before that again, so that what is taken last can still be answered
 LIST_BYTES = 16 << 20
+TURNED, TURNED_TIME = 8, 0.5  # connections turned away that are listened to at once, and seconds for each
 LONGEST_STOP = 60.0  # seconds that running streams may take to their end
 
 FULL = head(503, [("Connection", "close"), ("Content-Length", "0")])
@@ -37,11 +38,11 @@
 class Running:
     """A node with its listener, its watch on the list and its stop."""
 
-    def __init__(self, posting: Posting, again: Callable[[], Posting]) -> None:
-        """`again` reads the posting anew, as at SIGHUP."""
+    def __init__(self, posting: Posting, again: Callable[[], Posting], may_hold: int) -> None:
+        """`again` reads the posting anew, as at SIGHUP; `may_hold` is this process's share of descriptors."""
         self.posting, self.again = posting, again
         self.log = structlog.get_logger()
-        room = descriptors(posting.sockets) - RESERVE
+        room = may_hold - RESERVE
         self.most = int(room * CLIENTS_PART)
         self.node = Node(posting, room - self.most)
         speech = Speech(connect_ms=1_000, idle_ms=60_000, connections_each=2, idle_each=1,
@@ -50,6 +51,7 @@
                                self.node.engines_changed, self.node.quarter.list_lost)
         self.clients: dict[Intake, anyio.CancelScope] = {}
         self.busy = 0
+        self.turned = 0
         self.stopping = anyio.Event()
         self.port = 0
 
@@ -62,20 +64,23 @@
                                                        local_port=posting.listen[1], backlog=1024)
         except OSError as fault:
             raise BadPosting(f"listen: {posting.listen[0]}:{posting.listen[1]}: {fault}") from None
-        async with listener, anyio.create_task_group() as tasks:
-            node.tasks = tasks
-            self.port = listener.extra(SocketAttribute.local_port)
-            for work in (node.timers.run, node.calls.vigil.run, self._sweep, self.catalog.follow):
-                tasks.start_soon(work)
-            for each in listener.listeners:
-                tasks.start_soon(accept_all, each.extra(SocketAttribute.raw_socket), tasks, self._client)
-            self.log.info("node_listening", node=posting.name, port=self.port, clients=self.most,
-                          engines=node.calls.pool.most, known=len(posting.known.engines))
-            task_status.started(self.port)
-            await self.stopping.wait()
-            await self._stop()
-            tasks.cancel_scope.cancel()
-        node.calls.pool.close()
+        try:
+            async with listener, anyio.create_task_group() as tasks:
+                node.tasks = tasks
+                self.port = listener.extra(SocketAttribute.local_port)
+                for work in (node.timers.run, node.calls.vigil.run, self._sweep, self.catalog.follow):
+                    tasks.start_soon(work)
+                for each in listener.listeners:
+                    tasks.start_soon(accept_all, each.extra(SocketAttribute.raw_socket), tasks, self._client)
+                self.log.info("node_listening", node=posting.name, port=self.port, clients=self.most,
+                              engines=node.calls.pool.most, known=len(posting.known.engines))
+                task_status.started(self.port)
+                await self.stopping.wait()
+                await self._stop()
+                tasks.cancel_scope.cancel()
+        finally:
+            node.calls.pool.close()
+            self.catalog.pool.close()
         self.log.info("node_stopped", node=posting.name, counts=dict(node.counts))
 
     def stop(self) -> None:
@@ -112,9 +117,7 @@
 
     async def _client(self, line: Line) -> None:
         if len(self.clients) >= self.most and not self._make_room():
-            with anyio.move_on_after(1), suppress(Gone):
-                await line.send(FULL)
-            line.drop()
+            await self._turn_away(line)
             return
         intake = Intake(self.node, line, self._working, self.stopping.is_set)
         with anyio.CancelScope() as scope:
@@ -127,6 +130,18 @@
                 del self.clients[intake]
                 line.drop()
 
+    async def _turn_away(self, line: Line) -> None:
+        """What it sends is swallowed briefly, or a reset would eat the answer; a few at a time, as each takes
+        a descriptor of the reserve."""
+        self.turned += 1
+        with anyio.move_on_after(TURNED_TIME), suppress(Gone):
+            await line.send(FULL)
+            line.say_end()
+            while self.turned <= TURNED:
+                await line.receive()
+        self.turned -= 1
+        line.drop()
+
     def _make_room(self) -> bool:
         """Against silent connections keeping out those that ask: the one idle for longest goes."""
         idle = min((intake for intake in self.clients if intake.idle_since),
@@ -156,7 +171,8 @@
 async def run_node(environ: Mapping[str, str]) -> None:
     """Runs a node in this process until SIGTERM or SIGINT. Raises BadPosting."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        running = Running(read_posting(environ), lambda: read_posting(environ))
+        posting = read_posting(environ)
+        running = Running(posting, lambda: read_posting(environ), descriptors(posting.sockets))
         # What is there at the start stays: looking through it again would stop a node for tens of ms.
         gc.collect()
         gc.freeze()
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -9,10 +9,13 @@
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
+from runspool.node.posting import read_posting
+from runspool.node.running import Running
+
 HOST = "127.0.0.1"
 WAIT = 15.0  # seconds before a test that waits for something gives up
 
@@ -334,6 +337,28 @@
             async with self._node():
                 yield self
 
+    @asynccontextmanager
+    async def inside(self) -> AsyncIterator[Running]:
+        """The same with the node in this process, to look into."""
+        async with self.agent() as self.agent_port:
+            for engine in self.engines.values():
+                await engine.start()
+            posting = read_posting({"BALANCER_CONFIG": str(self.write_config(listen="127.0.0.1:1"))})
+            posting = replace(posting, listen=("127.0.0.1", 0))
+            running, ready = Running(posting, lambda: posting, self.sockets), _Ready()
+            task = asyncio.ensure_future(running.run(task_status=ready))
+            await ready.wait()
+            self.port = running.port
+            try:
+                yield running
+            finally:
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+                for engine in self.engines.values():
+                    engine.server.close()
+                for client in self.clients:
+                    client.close()
+
     @asynccontextmanager
     async def _node(self) -> AsyncIterator[None]:
         self.port = free_port()
@@ -389,6 +414,11 @@
             client.close()
 
 
+class _Ready(asyncio.Event):
+    def started(self, value: object = None) -> None:
+        self.set()
+
+
 def free_port() -> int:
     import socket
     with socket.socket() as one:
--- /dev/null
+++ b/tests/test_beliefs.py
@@ -0,0 +1,127 @@
+"""What a node believes of its engines, against what crossed the sockets, shot by shot and at each moment."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from tests.platform import EVENTS, GOOD, READ, STREAM, Platform, Request, chunked, post, whole
+from runspool.decisions.interface import Role
+
+pytestmark = pytest.mark.anyio
+KINDS = {"r": "prefill", "s": "prefill", "w": "decode", "v": "decode", "m": "mixed"}
+ENDINGS = {"ok": "SUCCEEDED", "read": "READ", "declined": "FULL", "gone": "STATELESS", "error": "ERRORED",
+           "cut": "SEVERED", "reset": "SEVERED"}
+
+
+async def test_each_shot_ends_as_its_engine_saw_it_end_and_took_as_long(tmp_path: Path) -> None:
+    draw = Random(4)
+    seen: list[tuple[str, str, str, float]] = []  # query, engine, how it ended there, seconds there
+
+    async def answers(asked: Request) -> None:
+        at = asyncio.get_running_loop().time()
+        reads = platform.engines[asked.engine].kind == "prefill"
+        how = draw.choices(["good", "declined", "gone", "error", "reset", "cut"], [12, 2, 1, 2, 1, 1])[0]
+        how = {"good": "read" if reads else "ok", "cut": "reset" if reads else "cut",
+               "gone": "declined" if reads else "gone"}.get(how, how)
+        await asyncio.sleep(draw.random() * 0.05)
+        if how in ("reset", "cut"):
+            if how == "cut":
+                await asked.say(STREAM + chunked(EVENTS[0]))
+                await asyncio.sleep(0.02)
+            asked.reset()
+        else:
+            await asked.say({"read": READ, "ok": GOOD, "declined": whole(503, b"", b"Srv-Declined: 1"),
+                             "gone": whole(410, b"", b"Srv-Declined: 1"), "error": whole(500)}[how])
+        seen.append((asked.headers["req-id"], asked.engine, how, asyncio.get_running_loop().time() - at))
+
+    async with Platform(tmp_path, KINDS).open() as platform:
+        for engine in platform.engines.values():
+            engine.scripts = [answers] * 1_000
+        await asyncio.gather(*(_one(platform, f"q{at}", at) for at in range(60)))
+        await platform.until(lambda: platform.log.count(b'"event":"shot_ended"') >= len(seen))
+        told = [json.loads(line) for line in platform.log.splitlines() if b'"event":"shot_ended"' in line]
+    for query in {name for name, *_ in seen}:
+        here = [(one["engine"], one["ending"]) for one in told if one["query"] == query]
+        assert here == [(engine, ENDINGS[how]) for name, engine, how, _ in seen if name == query]
+    assert Counter(one["ending"] for one in told)["READ"] > 20
+    # The time a shot took, as the decisions learn it, is never shorter than it was at the engine.
+    for one in told:
+        there = [took for name, engine, how, took in seen
+                 if (name, engine, ENDINGS[how]) == (one["query"], one["engine"], one["ending"])]
+        assert one["took"] / 10_000 >= min(there) - 0.002
+
+
+async def _one(platform: Platform, name: str, at: int) -> None:
+    await asyncio.sleep(at * 0.01)
+    await platform.ask(post(name, "ask" if at % 3 else "book"))
+
+
+async def test_the_books_hold_just_what_is_open_at_each_engine(tmp_path: Path) -> None:
+    """Reads and streams that the decisions count at an engine are those open there: as they come, in
+    the middle and after the end, whatever ended them."""
+    platform = Platform(tmp_path, KINDS)
+    open_at: Counter[str] = Counter()
+    steps: asyncio.Queue[Callable[[Request], Awaitable[None]]] = asyncio.Queue()
+
+    async def counted(asked: Request) -> None:
+        open_at[asked.engine] += 1
+        platform.changed()
+        if platform.engines[asked.engine].kind != "prefill":
+            await asked.say(STREAM + chunked(EVENTS[0]))
+            end = await steps.get()
+        else:
+            end = _reads
+        open_at[asked.engine] -= 1
+        await end(asked)
+
+    for engine in platform.engines.values():
+        engine.scripts = [counted] * 1_000
+    async with platform.inside() as running:
+        def agree() -> bool:
+            engines = running.node.quarter.desk.rules.engines
+            believed = {site.name: len(engines[index].reads if site.role is Role.READER
+                                       else engines[index].streams)
+                        for index, site in running.node.sites.items()}
+            return believed == {name: open_at[name] for name in KINDS}
+
+        asks = [asyncio.ensure_future(platform.ask(post(f"q{at}"))) for at in range(12)]
+        await platform.until(lambda: sum(open_at.values()) == 12 and sum(
+            open_at[name] for name, kind in KINDS.items() if kind != "prefill") == 12)
+        await _true(agree)
+        for end in (_ends, _cuts, _ends, _spoils, _ends, _cuts):
+            steps.put_nowait(end)
+        await platform.until(lambda: sum(open_at.values()) == 6)
+        await _true(agree)
+        for _ in range(6):
+            steps.put_nowait(_ends)
+        await asyncio.gather(*asks)
+        await _true(agree)
+
+
+async def _true(agree: Callable[[], bool]) -> None:
+    async with asyncio.timeout(10):
+        while not agree():
+            await asyncio.sleep(0.005)
+
+
+async def _reads(asked: Request) -> None:
+    await asked.say(READ)
+
+
+async def _ends(asked: Request) -> None:
+    await asked.say(b"".join(map(chunked, EVENTS[1:])) + b"0\r\n\r\n")
+
+
+async def _cuts(asked: Request) -> None:
+    asked.reset()
+
+
+async def _spoils(asked: Request) -> None:
+    await asked.say(b"zz\r\n")
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from runspool.sockets.lines import Line, dial
 from tests.platform import (
     BODY, EVENTS, GOOD, READ, STREAM, Platform, Request, Script, chunked, post, resets, says, silent, whole,
 )
@@ -383,3 +384,66 @@
         env=os.environ | {"BALANCER_CONFIG": str(file)})
     _, said = await done.communicate()
     assert (done.returncode, said.decode().startswith(f"runspool.node: {key}")) == (2, True), said
+
+
+async def test_a_kept_connection_that_its_engine_closed_costs_no_doubt(tmp_path: Path) -> None:
+    async def serves_and_closes(asked: Request) -> None:
+        await asked.say(GOOD)
+        asked.reset()
+
+    async with Platform(tmp_path, PAIR).open() as platform:
+        platform.engines["w"].scripts = [serves_and_closes] * 10
+        for at in range(10):
+            answer = await platform.ask(post(f"q{at}", "book"))
+            assert (answer.status, answer.whole) == (200, True)
+            assert len(platform.shots(f"q{at}", "write")) == 1
+
+
+async def test_descriptors_stay_under_their_cap_and_whoever_asks_is_answered(tmp_path: Path) -> None:
+    go = asyncio.Event()
+
+    async def waits(asked: Request) -> None:
+        await asked.say(STREAM + chunked(EVENTS[0]))
+        await go.wait()
+        await asked.say(b"".join(map(chunked, EVENTS[1:])) + b"0\r\n\r\n")
+
+    platform = Platform(tmp_path, PAIR)
+    platform.sockets = 64
+    async with platform.open():
+        platform.engines["w"].scripts = [waits] * 100
+        held = Path(f"/proc/{platform.process.pid}/fd")
+        most = 0
+        statuses = []
+        for at in range(40):
+            client = await platform.client()
+            client.send(post(f"q{at}"))
+            statuses.append((await client.head()).status)
+            most = max(most, len(os.listdir(held)))
+        go.set()
+        assert set(statuses) == {200, 503}
+        assert most <= 64
+        assert (await platform.ask(post("last"))).status == 200
+
+
+async def test_a_drain_told_while_connecting_bars_the_shot(tmp_path: Path,
+                                                          monkeypatch: pytest.MonkeyPatch) -> None:
+    connecting, go = asyncio.Event(), asyncio.Event()
+
+    async def dials(address: tuple[str, int], source: str | None) -> Line:
+        if address[1] == platform.engines["w"].port:
+            connecting.set()
+            await go.wait()
+        return await dial(address, source)
+
+    platform = Platform(tmp_path, {"r": "prefill", "w": "decode"})
+    monkeypatch.setattr("runspool.engines.connections.dial", dials)
+    async with platform.inside() as running:
+        asked = asyncio.ensure_future(platform.ask(post("q1", "book")))
+        await asyncio.wait_for(connecting.wait(), 15)
+        platform.tell(w="leaving")
+        async with asyncio.timeout(15):
+            while running.node.lines["w"].state == "on":
+                await asyncio.sleep(0.005)
+        go.set()
+        assert (await asked).status == 503  # known not to have run
+        assert platform.shots("q1", "write") == []
