Streams at draining engines are moved at a stop too

Seen: one of two nodes was still there when the kill came (reload). A log line of what is held after its time named three begun streams, each at an engine that drains. Faulty line: leave() went over writers(), which are those on. Ruled out: releases under way (0), queries taken late (all answered).

--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -241,14 +241,13 @@
         """This front is killed after `by`: its streams go on elsewhere before that, or they would break. As
         late as can be, for others may be restarting too, the newest first and spread over a second."""
         yield Wait(max(self.now, by - SECOND))
-        while self.terms.resumes and self.now < by:
-            begun = [i for e in self.writers() for i in e.streams if i not in e.waiting]
-            if begun:
-                yield Move(max(begun))
-            yield Wait(min(by, self.now + max(RETRY, (by - self.now) // (len(begun) + 1))))
-        for e in self.writers() if self.terms.resumes else ():
-            for i in [i for i in e.streams if i not in e.waiting]:
+        while self.terms.resumes:
+            # Those at engines that drain too: nothing else would end them in time.
+            begun = [i for e in self.engines.values() for i in e.streams if i not in e.waiting]
+            late = self.now >= by
+            for i in begun if late else [max(begun)] if begun else []:
                 yield Move(i)
+            yield Wait(self.now + (RETRY if late else max(RETRY, (by - self.now) // (len(begun) + 1))))
 
     def roster(self, roster: Roster) -> None:
         named = [line.engine for line in roster.engines]
--- a/runspool/node/running.py
+++ b/runspool/node/running.py
@@ -111,8 +111,14 @@
         for intake, scope in list(self.clients.items()):
             if intake.idle_since:
                 scope.cancel()
+        told = False
         with anyio.move_on_after(LONGEST_STOP):
             while self.busy or node.queries or node.releasing:
+                if now() > by and not told:
+                    told = True
+                    self.log.warning("node_still_holds", answers=self.busy, releases=node.releasing, queries={
+                        taken.id: [taken.begun, taken.shots, taken.final is not None, taken.limit - now()]
+                        for taken in list(node.queries.values())[:20]})
                 await anyio.sleep(0.02)
 
     async def _client(self, line: Line) -> None:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -70,6 +70,7 @@
         host.wait(2)
         self.assertEqual([whose for word, whose in host.said if word == "move"], [asked[-1]])
         host.end(asked[-1], Ending.RECALLED, over=True)
+        host.tell(1, "draining")
         host.wait(SECOND)
         self.assertEqual({whose for word, whose in host.said if word == "move"}, set(asked))
 
