--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -247,7 +247,8 @@
             late = self.now >= by
             for i in begun if late else [max(begun)] if begun else []:
                 yield Move(i)
-            yield Wait(self.now + (RETRY if late else max(RETRY, (by - self.now) // (len(begun) + 1))))
+            rest = max(RETRY, (by - self.now) // (len(begun) + 1))
+            yield Wait(self.now + RETRY if late else min(by, self.now + rest))
 
     def roster(self, roster: Roster) -> None:
         named = [line.engine for line in roster.engines]
