A stopping node keeps its clients' connections open until it must go

A probe that logged the connection of each request: at a stop no new connection came after 0.4 s, but 21 requests on open ones, once these were left open. Faulty lines: Intake.route and Intake.last closed each connection with its next answer from SIGTERM on.

--- a/runspool/node/intake.py
+++ b/runspool/node/intake.py
@@ -59,7 +59,9 @@
 
     @property
     def last(self) -> bool:
-        return self.stopping() or not self.keeps_alive
+        # Not from SIGTERM on: clients go on using what they have open, and where every other node is down too
+        # it is all they have. Closed early, 11% of an incident's requests found nobody.
+        return self.node.closing or not self.keeps_alive
 
     def head_wait(self) -> float:
         return KEPT_MS if self.served else self.bounds.idle_ms
@@ -87,8 +89,6 @@
             await self.plain(405, self.error("method", "POST it"), [("Allow", "POST")])
         else:
             await self._query(request, came)
-        if self.stopping():
-            self.keeps_alive = False
 
     async def _query(self, request: Request, came: int) -> None:
         try:
