On a kept connection the last byte waits a round trip, so that a reset costs no doubt

Ruled out: connections seen to be closed before use (the pool drops those). Faulty lines: Exchanges._send looked at the connection right after the first bytes, a round trip before their reset can be seen, and sent the last byte.

--- a/runspool/engines/connections.py
+++ b/runspool/engines/connections.py
@@ -26,13 +26,15 @@
 class Link:
     """One connection, and the answer that is being read off it."""
 
-    __slots__ = ("address", "idle_since", "line", "reply")
+    __slots__ = ("address", "idle_since", "line", "reply", "round_trip", "used")
 
     def __init__(self, address: tuple[str, int], line: Line) -> None:
         self.address = address
         self.line = line
         self.reply = Reply(HEAD_BYTES)
         self.idle_since = 0
+        self.round_trip = 0  # tenths of a millisecond that connecting took, one round trip at least
+        self.used = False  # it has carried an exchange before
 
     def spoke(self) -> bool:
         """True where the peer has closed, reset or said something unasked: not to be sent anything more."""
@@ -67,13 +69,16 @@
             raise Full(f"all {self.most} connections to engines are in use")
         self.held += 1
         self.open[address] = self.open.get(address, 0) + 1
+        began = self.now()
         try:
             with anyio.fail_after(self.terms.connect_ms / 1000):
                 line = await dial(address, self.terms.source_address)
         except BaseException:
             self._closed(address)
             raise
-        return Link(address, line)
+        link = Link(address, line)
+        link.round_trip = self.now() - began + 1
+        return link
 
     def give_back(self, link: Link) -> None:
         """For a link whose exchange has ended; kept where it can serve again, else closed."""
@@ -81,7 +86,7 @@
             link.reply.renew()
             waiting = self.idle.setdefault(link.address, deque())
             if len(waiting) < self.terms.idle_each:
-                link.idle_since = self.now()
+                link.idle_since, link.used = self.now(), True
                 waiting.append(link)
                 return
         self.drop(link)
--- a/runspool/engines/exchange.py
+++ b/runspool/engines/exchange.py
@@ -18,6 +18,8 @@
 from runspool.sockets.lines import Gone
 from runspool.units import TENTHS, tenths
 
+LONGEST_LOOK = 50  # tenths of a millisecond: a connect may have been slow for other reasons
+
 Address = tuple[str, int]
 Barred = Callable[[], bool]
 
@@ -127,6 +129,10 @@
             # The last byte is held back: until it goes the engine cannot have begun, so a connection
             # that broke while idle costs no doubt about what ran.
             await link.line.send(request[:-1])
+            # A connection that its engine gave up without a word is reset by the first bytes to reach it,
+            # which takes a round trip to be seen: sooner the last byte would go, and with it all certainty.
+            if link.used:
+                await link.line.silent_for(min(link.round_trip, LONGEST_LOOK) / (1000 * TENTHS))
             if link.spoke():
                 raise Stopped(Mishap.CUT_BEFORE_LAST_BYTE, "closed or answered before it had the request")
             if barred():
--- a/runspool/sockets/lines.py
+++ b/runspool/sockets/lines.py
@@ -14,6 +14,8 @@
 from socket import socket
 from typing import cast
 
+import anyio
+
 KEPT = 65_536  # bytes kept for a reader that does not ask; past them the peer is made to wait
 
 
@@ -98,6 +100,17 @@
             self._poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
         return bool(self._poll.poll(0))
 
+    async def silent_for(self, seconds: float) -> bool:
+        """False as soon as the peer speaks, closes or resets, True where it does not in that time."""
+        if not self.spoke():
+            with anyio.move_on_after(seconds):
+                self._reader = asyncio.get_running_loop().create_future()
+                try:
+                    await self._reader
+                finally:
+                    self._reader = None
+        return not self.spoke()
+
     def say_end(self) -> None:
         """Tells the peer that nothing more is sent."""
         if not self._closed and self.transport.can_write_eof():
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,7 +13,8 @@
 
 from runspool.sockets.lines import Line, dial
 from tests.platform import (
-    BODY, EVENTS, GOOD, READ, STREAM, Platform, Request, Script, chunked, post, resets, says, silent, whole,
+    BODY, EVENTS, GOOD, READ, SETTINGS, STREAM, Platform, Request, Script, chunked, post, resets, says,
+    silent, whole,
 )
 
 pytestmark = pytest.mark.anyio
@@ -399,6 +400,28 @@
             assert len(platform.shots(f"q{at}", "write")) == 1
 
 
+async def test_a_kept_connection_reset_by_the_next_request_costs_no_doubt(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def far(address: tuple[str, int], source: str | None) -> Line:
+        await asyncio.sleep(0.5)  # a round trip so long that the reset is always seen in it
+        return await dial(address, source)
+
+    async def given_up(asked: Request) -> None:
+        await asked.say(GOOD)
+        await asked.reader.read(1)
+        asked.reset()
+
+    monkeypatch.setattr("runspool.engines.connections.dial", far)
+    monkeypatch.setattr("runspool.engines.exchange.LONGEST_LOOK", 100_000)
+    platform = Platform(tmp_path, PAIR)
+    platform.settings = SETTINGS | {"limits": SETTINGS["limits"] | {"dial-timeout-us": 5_000_000}}
+    async with platform.inside():
+        platform.engines["w"].scripts = [given_up]
+        assert (await platform.ask(post("q1"))).whole
+        assert (await platform.ask(post("q2", "book", req_deadline="9000m"))).whole
+        assert len(platform.shots("q2", "write")) == 1
+
+
 async def test_descriptors_stay_under_their_cap_and_whoever_asks_is_answered(tmp_path: Path) -> None:
     go = asyncio.Event()
 
