A connection that comes as accepting is cancelled is neither lost nor a fault

Seen: one full run of the tests ended in InvalidStateError from the loop's sock_accept (stage "in the line", engine's loss). Cause: cancelled in the turn in which a connection comes, it still takes it, sets a cancelled future and leaves the connection open. Ruled out: the product's code, which was not on the stack. Now the socket is waited for and accepted from by hand, in the product and the stand-ins alike.

--- a/runspool/lab/engine.py
+++ b/runspool/lab/engine.py
@@ -22,6 +22,7 @@
 from runspool.lab.model import BLOCK, Job, Make, Model, Step, Verdict
 from runspool.lab.recording import Recorder
 from runspool.service.clock import now
+from runspool.sockets.lines import next_connection
 from runspool.wire.completions import DONE, TOKEN_BYTES, chunk, error_body
 from runspool.wire.engine import REPORT_HEADER
 
@@ -122,7 +123,10 @@
                                  fall_time=make.fall_time, work=make.work)
                 tasks.start_soon(self._steps)
                 task_status.started(self.port)
-                await one.serve(self._client, tasks)
+                raw = one.extra(anyio.abc.SocketAttribute.raw_socket)
+                while True:
+                    taken = await next_connection(raw)
+                    tasks.start_soon(self._client, await SocketStream.from_socket(taken))
 
     def fall(self) -> None:
         """An engine pushed over takes its process with it."""
--- a/runspool/sockets/lines.py
+++ b/runspool/sockets/lines.py
@@ -11,6 +11,7 @@
 import asyncio
 import select
 from collections.abc import Callable
+from contextlib import suppress
 from socket import socket
 from typing import cast
 
@@ -173,12 +174,23 @@
     return line
 
 
+async def next_connection(listening: socket) -> socket:
+    """The next connection's socket, non-blocking. Raises OSError; cancelled, takes none."""
+    # Not the loop's sock_accept(): cancelled just as a connection comes, it takes it, fails in the loop and
+    # leaves it open.
+    while True:
+        await anyio.wait_readable(listening)
+        with suppress(BlockingIOError, InterruptedError):
+            taken, _ = listening.accept()
+            taken.setblocking(False)
+            return taken
+
+
 async def accept(listening: socket) -> Line:
     """The next connection of a listening, non-blocking socket. Raises OSError."""
-    loop = asyncio.get_running_loop()
-    taken, _ = await loop.sock_accept(listening)
+    taken = await next_connection(listening)
     try:
-        _, line = await loop.connect_accepted_socket(Line, taken)
+        _, line = await asyncio.get_running_loop().connect_accepted_socket(Line, taken)
     except BaseException:
         taken.close()
         raise
