--- a/runspool/engines/connections.py
+++ b/runspool/engines/connections.py
@@ -4,8 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable
-
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import anyio
 
@@ -13,11 +12,29 @@
 from runspool.sockets.lines import Line, dial
 from runspool.units import TENTHS, tenths
 
-if TYPE_CHECKING:
-    from runspool.engines.exchange import Speaking
-
 HEAD_BYTES = 65536  # of an answer
 
+Address = tuple[str, int]
+
+
+class Speaking(Protocol):
+    """How engines are spoken to; times in milliseconds."""
+
+    @property
+    def connect_ms(self) -> float: ...
+    @property
+    def idle_ms(self) -> float: ...
+    @property
+    def connections_each(self) -> int: ...
+    @property
+    def idle_each(self) -> int: ...
+    @property
+    def read_answer_bytes(self) -> int: ...
+    @property
+    def line_bytes(self) -> int: ...
+    @property
+    def source_address(self) -> str | None: ...
+
 
 class Full(Exception):
     """This front holds as many connections to the engine as it may."""
@@ -26,15 +43,15 @@
 class Link:
     """One connection, and the answer that is being read off it."""
 
-    __slots__ = ("address", "idle_since", "line", "reply", "round_trip", "used")
+    __slots__ = ("address", "idle_since", "line", "reply", "round_trip")
 
-    def __init__(self, address: tuple[str, int], line: Line) -> None:
+    def __init__(self, address: Address, line: Line, round_trip: int) -> None:
+        """`round_trip`: tenths of a millisecond that connecting took, one round trip at least."""
         self.address = address
         self.line = line
         self.reply = Reply(HEAD_BYTES)
-        self.idle_since = 0
-        self.round_trip = 0  # tenths of a millisecond that connecting took, one round trip at least
-        self.used = False  # it has carried an exchange before
+        self.round_trip = round_trip
+        self.idle_since = 0  # 0 until it has carried an exchange
 
     def spoke(self) -> bool:
         """True where the peer has closed, reset or said something unasked: not to be sent anything more."""
@@ -44,15 +61,15 @@
 class Pool:
     """Links by address. Nothing here waits for another's link: past the cap Full is raised at once."""
 
-    def __init__(self, terms: Speaking, now: Callable[[], int]) -> None:
+    def __init__(self, terms: Speaking, now: Callable[[], int], most: int = 0) -> None:
+        """`most` bounds the links to all engines together, 0 sets no bound."""
         self.terms = terms
-        self.most = 0  # connections to all engines together, 0 sets no bound
-        self.held = 0
+        self.most = most
         self.now = now
-        self.idle: dict[tuple[str, int], deque[Link]] = {}
-        self.open: dict[tuple[str, int], int] = {}
+        self.idle: dict[Address, deque[Link]] = {}
+        self.open: dict[Address, int] = {}
 
-    async def take(self, address: tuple[str, int]) -> Link:
+    async def take(self, address: Address) -> Link:
         """An idle link that still stands, or a new one.
 
         Raises Full past the cap, OSError or TimeoutError where none can be made; cancelled, leaves none open.
@@ -65,9 +82,8 @@
             self.drop(link)
         if self.open.get(address, 0) >= self.terms.connections_each:
             raise Full(f"{address[0]}:{address[1]}")
-        if self.most and self.held >= self.most and not self._spare():
+        if self.most and sum(self.open.values()) >= self.most and not self._spare():
             raise Full(f"all {self.most} connections to engines are in use")
-        self.held += 1
         self.open[address] = self.open.get(address, 0) + 1
         began = self.now()
         try:
@@ -76,9 +92,7 @@
         except BaseException:
             self._closed(address)
             raise
-        link = Link(address, line)
-        link.round_trip = self.now() - began + 1
-        return link
+        return Link(address, line, self.now() - began + 1)
 
     def give_back(self, link: Link) -> None:
         """For a link whose exchange has ended; kept where it can serve again, else closed."""
@@ -86,7 +100,7 @@
             link.reply.renew()
             waiting = self.idle.setdefault(link.address, deque())
             if len(waiting) < self.terms.idle_each:
-                link.idle_since, link.used = self.now(), True
+                link.idle_since = self.now()
                 waiting.append(link)
                 return
         self.drop(link)
@@ -120,8 +134,7 @@
             self.drop(link)
         return bool(idle)
 
-    def _closed(self, address: tuple[str, int]) -> None:
-        self.held -= 1
+    def _closed(self, address: Address) -> None:
         left = self.open.get(address, 1) - 1
         if left:
             self.open[address] = left
--- a/runspool/engines/exchange.py
+++ b/runspool/engines/exchange.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 import anyio
 
 from runspool.decisions.interface import Ending, Report
-from runspool.engines.connections import Full, Link, Pool
-from runspool.engines.endings import Mishap
+from runspool.engines.connections import Address, Full, Link, Pool, Speaking
+from runspool.engines.endings import ENDINGS, Mishap
 from runspool.engines.replies import BadReply, Reply
 from runspool.engines.vigil import Vigil
 from runspool.sockets.lines import Gone
@@ -20,8 +20,15 @@
 
 LONGEST_LOOK = 50  # tenths of a millisecond: a connect may have been slow for other reasons
 
-Address = tuple[str, int]
 Barred = Callable[[], bool]
+Piece = TypeVar("Piece", contravariant=True)
+
+
+class Listener(Protocol[Piece]):
+    """Hears a streamed answer while it comes, in the protocol's own pieces."""
+
+    async def begun(self) -> None: ...
+    async def said(self, piece: Piece, /) -> None: ...
 
 
 @dataclass(slots=True)
@@ -38,24 +45,10 @@
     state: Any = None  # what names the state that waits, in the protocol's own form
     report: Report | None = None
 
-
-class Speaking(Protocol):
-    """How engines are spoken to; times in milliseconds."""
-
-    @property
-    def connect_ms(self) -> float: ...
-    @property
-    def idle_ms(self) -> float: ...
-    @property
-    def connections_each(self) -> int: ...
-    @property
-    def idle_each(self) -> int: ...
-    @property
-    def read_answer_bytes(self) -> int: ...
-    @property
-    def line_bytes(self) -> int: ...
-    @property
-    def source_address(self) -> str | None: ...
+    def broke(self, mishap: Mishap, detail: str, begun: bool) -> None:
+        """Whatever breaks an answer once its client has seen some of it is a stream cut."""
+        self.mishap, self.detail = Mishap.CUT_IN_STREAM if begun else mishap, detail
+        self.ending = ENDINGS[self.mishap]
 
 
 class Stopped(Exception):
@@ -80,12 +73,13 @@
 class Exchanges:
     """Carries out exchanges on pooled connections."""
 
-    def __init__(self, terms: Speaking, now: Callable[[], int], silence_ms: float) -> None:
+    def __init__(self, terms: Speaking, now: Callable[[], int], silence_ms: float, most: int = 0) -> None:
+        """`most` bounds the connections to all peers together, 0 sets no bound."""
         self.terms = terms
         self.now = now
         self.silence = tenths(silence_ms)
         self.vigil = Vigil(now)
-        self.pool = Pool(terms, now)
+        self.pool = Pool(terms, now, most)
 
     def said_no(self, reply: Reply, body: bytes) -> tuple[Mishap, str]:
         """What an answer of another status than the wanted one means, and a detail for the log."""
@@ -131,7 +125,7 @@
             await link.line.send(request[:-1])
             # A connection that its engine gave up without a word is reset by the first bytes to reach it,
             # which takes a round trip to be seen: sooner the last byte would go, and with it all certainty.
-            if link.used:
+            if link.idle_since:
                 await link.line.silent_for(min(link.round_trip, LONGEST_LOOK) / (1000 * TENTHS))
             if link.spoke():
                 raise Stopped(Mishap.CUT_BEFORE_LAST_BYTE, "closed or answered before it had the request")
@@ -176,18 +170,6 @@
         except Gone as fault:
             raise Stopped(cut, str(fault) or "closed") from None
 
-    async def _rest(self, link: Link) -> None:
-        """What stands after the answer's end, so that the link can serve again; not waited for long."""
-        with anyio.move_on_after(self.terms.connect_ms / 1000):
-            try:
-                for _ in range(8):
-                    if link.reply.complete:
-                        return
-                    await self._more(link, Mishap.CUT_IN_STREAM)
-                    link.reply.take()
-            except Stopped:
-                return
-
 
 class Clock:
     """A shot's time; `mishap` is what its running out means at the point which the shot has come to."""
--- a/runspool/engines/replies.py
+++ b/runspool/engines/replies.py
@@ -48,13 +48,10 @@
             self._left -= len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError) as fault:
             if not self.complete:
-                raise BadReply("an upgrade nobody asked for") from None
-            self.keeps_alive = False
-        except httptools.HttpParserError as fault:
-            if not self.complete:
-                raise BadReply(str(fault)) from None
+                asked = not isinstance(fault, httptools.HttpParserUpgrade)
+                raise BadReply(str(fault) if asked else "an upgrade nobody asked for") from None
             self.keeps_alive = False
         if not self.head_done and self._left < 0:
             raise BadReply("a head without end")
--- a/runspool/engines/shots.py
+++ b/runspool/engines/shots.py
@@ -3,15 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Protocol
 
 import anyio
 import msgspec
 
 from runspool.decisions.interface import Ending, Report
-from runspool.engines.connections import Link
+from runspool.engines.connections import Address, Link
 from runspool.engines.endings import ENDINGS, Mishap, of_status
-from runspool.engines.exchange import Address, Barred, Ended, Exchanges, Stopped, limit_of, never, worded
+from runspool.engines.exchange import Barred, Ended, Exchanges, Listener, Stopped, never, worded
 from runspool.engines.replies import Reply
 from runspool.engines.vigil import Watched
 from runspool.sockets.lines import dial
@@ -20,13 +19,6 @@
 State = dict[str, msgspec.Raw]
 
 
-class Listener(Protocol):
-    """Hears a streamed answer while it comes."""
-
-    async def begun(self) -> None: ...
-    async def said(self, text: str) -> None: ...
-
-
 class Caller(Exchanges):
     """Carries out shots on pooled connections."""
 
@@ -64,7 +56,7 @@
                      report=report)
 
     async def write(self, address: Address, query: State, state: State | None, headers: Mapping[str, str],
-                    limit: int, barred: Barred, most_out: int, listener: Listener) -> Ended:
+                    limit: int, barred: Barred, most_out: int, listener: Listener[str]) -> Ended:
         """Has a query answered, telling `listener` as the answer comes.
 
         `barred` says whether the engine may no longer be sent it; it is asked before the last byte goes.
@@ -93,13 +85,9 @@
         except Stopped as stop:
             # Past its finish an answer is whole: only its last lines are missing.
             if not (answer.finished and stop.mishap is Mishap.CUT_IN_STREAM):
-                told.mishap, told.detail = stop.mishap, stop.detail
+                told.broke(stop.mishap, stop.detail, answer.begun)
         except wire.Garbled as fault:
-            told.mishap, told.detail = Mishap.GARBLED, str(fault)
-        if told.mishap is not None:
-            # Whatever breaks an answer once its client has seen some of it is a stream cut.
-            told.mishap = Mishap.CUT_IN_STREAM if answer.begun else told.mishap
-            told.ending = ENDINGS[told.mishap]
+            told.broke(Mishap.GARBLED, str(fault), answer.begun)
         return told
 
     async def release(self, address: Address, state: State | None, request: str,
@@ -125,11 +113,23 @@
         line.drop()
         return True
 
+    async def _rest(self, link: Link) -> None:
+        """What stands after the answer's end, so that the link can serve again; not waited for long."""
+        with anyio.move_on_after(self.terms.connect_ms / 1000):
+            try:
+                for _ in range(8):
+                    if link.reply.complete:
+                        return
+                    await self._more(link, Mishap.CUT_IN_STREAM)
+                    link.reply.take()
+            except Stopped:
+                return
+
 
 class _Answer:
     """A streamed answer as it is read off a link."""
 
-    def __init__(self, caller: Caller, told: Ended, most_out: int, listener: Listener) -> None:
+    def __init__(self, caller: Caller, told: Ended, most_out: int, listener: Listener[str]) -> None:
         self.caller = caller
         self.told = told
         self.most_out = most_out
@@ -190,6 +190,3 @@
         if told.made > self.most_out:
             raise Stopped(Mishap.GARBLED, f"more than {self.most_out} tokens")
         return "".join(texts)
-
-
-__all__ = ["Address", "Caller", "Ended", "Listener", "State", "limit_of"]
--- a/runspool/lab/crowd.py
+++ b/runspool/lab/crowd.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from runspool.lab.plan import SECOND, Plan, TariffPlan, Trouble
-from runspool.wire.completions import TOKEN_BYTES
+from runspool.wire.fields import TOKEN_BYTES
 
 MOST_PROMPT = 60_000
 
--- a/runspool/lab/engine.py
+++ b/runspool/lab/engine.py
@@ -18,13 +18,13 @@
 import xxhash
 
 from runspool.engines.endings import STATE_GONE
-from runspool.lab.httpd import Asked, Left, serve
+from runspool.lab.httpd import Asked, Left, serve, serve_all
 from runspool.lab.model import BLOCK, Job, Make, Model, Step, Verdict
 from runspool.lab.recording import Recorder
 from runspool.service.clock import now
-from runspool.sockets.lines import next_connection
-from runspool.wire.completions import DONE, TOKEN_BYTES, chunk, error_body
+from runspool.wire.completions import DONE, chunk, error_body
 from runspool.wire.engine import REPORT_HEADER
+from runspool.wire.fields import TOKEN_BYTES
 
 FETCH_LIMIT = 10.0  # seconds that a writer waits for a state to come
 MODEL = "standin"
@@ -123,10 +123,7 @@
                                  fall_time=make.fall_time, work=make.work)
                 tasks.start_soon(self._steps)
                 task_status.started(self.port)
-                raw = one.extra(anyio.abc.SocketAttribute.raw_socket)
-                while True:
-                    taken = await next_connection(raw)
-                    tasks.start_soon(self._client, await SocketStream.from_socket(taken))
+                await serve_all(one, self._client, tasks)
 
     def fall(self) -> None:
         """An engine pushed over takes its process with it."""
--- a/runspool/lab/httpd.py
+++ b/runspool/lab/httpd.py
@@ -4,14 +4,17 @@
 
 import socket
 import struct
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 import anyio
 import h11
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketAttribute, SocketListener, SocketStream, TaskGroup
 import msgspec
 
+from runspool.sockets.lines import next_connection
+
 RECEIVED = 65536
 GONE = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream, OSError)
 
@@ -81,6 +84,14 @@
             raise Left from None
 
 
+async def serve_all(listener: SocketListener, client: Callable[[SocketStream], Coroutine[Any, Any, None]],
+                    tasks: TaskGroup) -> None:
+    """Begins `client` for each connection, until cancelled."""
+    raw = listener.extra(SocketAttribute.raw_socket)
+    while True:
+        tasks.start_soon(client, await SocketStream.from_socket(await next_connection(raw)))
+
+
 async def serve(stream: SocketStream, handle: Callable[[Asked], Awaitable[None]]) -> None:
     """Serves one connection until it ends; `handle` reads the body itself."""
     state = h11.Connection(h11.SERVER, max_incomplete_event_size=65536)
--- a/runspool/lab/listing.py
+++ b/runspool/lab/listing.py
@@ -9,7 +9,7 @@
 import anyio
 from anyio.abc import SocketListener, SocketStream, TaskStatus
 
-from runspool.lab.httpd import Asked, Left, serve
+from runspool.lab.httpd import Asked, Left, serve, serve_all
 from runspool.lab.recording import Recorder
 from runspool.service.clock import now
 from runspool.wire.listing import Entry, News, write_news
@@ -55,7 +55,7 @@
                 self.port = int(one.extra(anyio.abc.SocketAttribute.local_port))
                 tasks.start_soon(self._publish)
                 task_status.started(self.port)
-                await one.serve(self._client, tasks)
+                await serve_all(one, self._client, tasks)
 
     async def _publish(self) -> None:
         while True:
--- a/runspool/node/asks.py
+++ b/runspool/node/asks.py
@@ -13,23 +13,14 @@
 from runspool.front.door import mark
 from runspool.front.granted import UNIT_US, Granted
 from runspool.units import TENTHS
+from runspool.wire import fields
+from runspool.wire.fields import TOKEN_BYTES, Misworded
 
 ID = re.compile(r"[A-Za-z0-9._:-]{1,64}")
 DEADLINE = re.compile(r"([0-9]{1,12})([mu])")
-WHOLE = re.compile(r"[0-9]{1,12}")
-MOST_NAME = 256  # bytes of a conversation's or an opening's name
-TOKEN_BYTES = 4  # of text in a token
 LONGEST = 36_000_000  # tenths of a millisecond: no client waits for an hour
 
 
-class Misworded(Exception):
-    """A request that cannot be taken: `where` names the header, `status` is the HTTP status."""
-
-    def __init__(self, where: str, what: str, status: int = 400) -> None:
-        super().__init__(f"{where}: {what}")
-        self.where, self.status = where, status
-
-
 @dataclass(frozen=True, slots=True)
 class Ask:
     """A checked request; durations in tenths of a millisecond, lengths in tokens."""
@@ -85,8 +76,8 @@
     pace = granted.terms.tariffs[tariff].pace
     return Ask(
         id=name, target=target.decode("latin-1"), body=body, tariff=tariff, tenant=tenant,
-        session=_named(headers.get("req-key"), "Req-Key"), beginning=_named(beginning, "Req-Extra prefix"),
-        prompt=prompt,
+        session=fields.name(headers.get("req-key"), "Req-Key"),
+        beginning=fields.name(beginning, "Req-Extra prefix"), prompt=prompt,
         beginning_length=_length(said, "prefix_len", 0, 0, prompt) if beginning else 0,
         most_out=_length(said, "max_out", 0, 0, largest),
         likely_out=_cost(headers.get("req-cost")) // pace if pace else 0,
@@ -105,7 +96,7 @@
 
 
 def _cost(said: str | None) -> int:
-    """A guess may be missing or anything; one that does not read counts as none."""
+    """A guess at the work; none counts as 0."""
     try:
         cost = float(said or 0)
     except ValueError:
@@ -126,18 +117,7 @@
 
 
 def _length(said: dict[str, str], key: str, absent: int, least: int, most: int) -> int:
-    text = said.get(key)
-    if text is None:
-        return absent
-    if not WHOLE.fullmatch(text) or not least <= int(text) <= most:
-        raise Misworded(f"Req-Extra {key}", f"{_short(text)} is no whole number from {least} to {most}")
-    return int(text)
-
-
-def _named(said: str | None, where: str) -> str | None:
-    if said is not None and not 0 < len(said) <= MOST_NAME:
-        raise Misworded(where, f"must have 1 to {MOST_NAME} bytes")
-    return said
+    return fields.whole(said.get(key), f"Req-Extra {key}", absent, least, most)
 
 
 def _short(said: str | None) -> str:
--- a/runspool/node/calls.py
+++ b/runspool/node/calls.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Protocol
-
 import msgspec
 
 from runspool.decisions.interface import Ending
-from runspool.engines.connections import Link
+from runspool.engines.connections import Address, Link
 from runspool.engines.endings import ENDINGS, Mishap
-from runspool.engines.exchange import Address, Barred, Ended, Exchanges, Stopped, never, worded
+from runspool.engines.exchange import Barred, Ended, Exchanges, Listener, Stopped, never, worded
 from runspool.engines.replies import Reply
 from runspool.engines.vigil import Watched
 from runspool.node.asks import Ask
@@ -37,13 +35,6 @@
     return Mishap.FAILED
 
 
-class Hearing(Protocol):
-    """Hears a stream while it comes; every piece holds whole events."""
-
-    async def begun(self) -> None: ...
-    async def said(self, data: bytes) -> None: ...
-
-
 class Calls(Exchanges):
     """Carries out a node's shots. Picks nothing, repeats nothing."""
 
@@ -68,8 +59,9 @@
             kept = 0  # the status has said that it was read; what was found kept is only good to know
         return Ended(Ending.READ, kept=max(0, kept))
 
-    async def write(self, address: Address, ask: Ask, limit: int, barred: Barred, hearing: Hearing) -> Ended:
-        """Has a query answered, telling `hearing` as its events come.
+    async def write(self, address: Address, ask: Ask, limit: int, barred: Barred,
+                    hearing: Listener[bytes]) -> Ended:
+        """Has a query answered, telling `hearing` as its events come, whole ones only.
 
         `barred` says whether the engine may no longer be sent it; it is asked before the last byte goes.
         `limit`, in tenths of a millisecond, holds to the first event; from then on only the bound of silence.
@@ -92,14 +84,10 @@
                 finally:
                     self.vigil.forget(watched)
         except Stopped as stop:
-            told.mishap, told.detail = stop.mishap, stop.detail
+            told.broke(stop.mishap, stop.detail, begun)
         except Spoilt as fault:
-            told.mishap, told.detail = Mishap.GARBLED, str(fault)
+            told.broke(Mishap.GARBLED, str(fault), begun)
         told.kept, told.read, told.made = events.kept, events.read, events.made
-        if told.mishap is not None:
-            # Whatever breaks an answer once its client has seen some of it is a stream cut.
-            told.mishap = Mishap.CUT_IN_STREAM if begun else told.mishap
-            told.ending = ENDINGS[told.mishap]
         return told
 
     async def release(self, address: Address, request: str, limit: int) -> Mishap | None:
@@ -122,7 +110,7 @@
             await self._more(link, Mishap.CUT_IN_ANSWER)
         return come
 
-    async def _follow(self, link: Link, events: Events, watched: Watched, hearing: Hearing) -> None:
+    async def _follow(self, link: Link, events: Events, watched: Watched, hearing: Listener[bytes]) -> None:
         """Passes on all that follows, to the answer's last chunk."""
         while not link.reply.complete:
             watched.since = self.now()
--- a/runspool/node/catalog.py
+++ b/runspool/node/catalog.py
@@ -5,13 +5,16 @@
 from collections.abc import Callable
 
 import anyio
+import msgspec
 import structlog
 
 from runspool.engines.endings import Mishap
-from runspool.engines.exchange import Address, Exchanges, Speaking, Stopped, never, worded
+from runspool.engines.connections import Address, Speaking
+from runspool.engines.exchange import Exchanges, Stopped, never, worded
 from runspool.engines.replies import Reply
 from runspool.node.members import BadList, read_list, target
 from runspool.roster.following import Following
+from runspool.roster.hearing import Hearer
 from runspool.units import tenths
 from runspool.wire.listing import Entry
 
@@ -27,9 +30,7 @@
                  changed: Callable[[list[Entry]], None], lost: Callable[[], None]) -> None:
         super().__init__(terms, now, 0)
         self.address = address
-        self.following = following
-        self.changed = changed
-        self.lost = lost
+        self.hearer = Hearer(following, now, changed, lost)
         self.log = structlog.get_logger()
         self.lists = 0  # whole ones, each the start of a count of its own
         self.scope: anyio.CancelScope | None = None
@@ -47,19 +48,14 @@
 
     async def follow(self) -> None:
         """Runs until cancelled; whatever the service does, the last list stays."""
-        losses = 0
         while True:
-            before = self.lists
             with anyio.CancelScope() as self.scope:
                 try:
                     await self._watch(self.address)
                 except (Stopped, BadList) as fault:
-                    losses = 1 if self.lists != before else losses + 1
-                    if losses.bit_count() == 1:  # the 1st, 2nd, 4th, 8th: a long loss must not fill the log
-                        self.log.warning("list_lost", reason=str(fault) or type(fault).__name__,
-                                         losses=losses, version=self.following.version)
+                    self.hearer.broke(fault)
                 self.pool.close()
-                self.lost()
+                self.hearer.lost()
                 await anyio.sleep(RETRY)
 
     async def _watch(self, address: Address) -> None:
@@ -72,17 +68,11 @@
         """Takes an answer; the version to ask after next."""
         # A service that lost its numbers begins at a low one. Answers on one connection come in order, so
         # that a whole list is always the newest word, whatever its number.
-        news, faults = read_list(raw, str(self.lists), since)
-        if news.whole:
-            self.lists += 1
-            news = type(news)(news.version, str(self.lists), True, False, news.engines)
+        news, faults = read_list(raw, since)
+        self.lists += news.whole
         for fault in faults[:3]:
             self.log.warning("list_line_unusable", fault=fault)
-        changed = self.following.heard(self.now(), news)
-        if changed:
-            self.log.info("list_changed", version=news.version, whole=news.whole, count=len(changed),
-                          engines={entry.engine: entry.state for entry in changed[:20]})
-            self.changed(changed)
+        self.hearer.hear(msgspec.structs.replace(news, epoch=str(self.lists)))
         return news.version
 
     async def _get(self, address: Address, after: int | None) -> bytes:
--- a/runspool/node/intake.py
+++ b/runspool/node/intake.py
@@ -7,12 +7,13 @@
 
 import msgspec
 
-from runspool.node.asks import Misworded, read_ask
+from runspool.node.asks import read_ask
 from runspool.node.node import Held, Node
 from runspool.service.clock import now
 from runspool.service.owed import Final, Kind, Refused
 from runspool.service.talk import Sending, Talk
 from runspool.sockets.lines import Gone, Line
+from runspool.wire.fields import Misworded
 from runspool.wire.requests import CHUNKS_END, BadRequest, Request, chunk, head
 
 READY, SERVED = "/_health", "/v1/chat/completions"
@@ -43,11 +44,9 @@
 class Intake(Talk):
     ONCE_ONLY = ("req-", "host", "content-length", "transfer-encoding")
 
-    def __init__(self, node: Node, line: Line, working: Callable[[int], None],
-                 stopping: Callable[[], bool]) -> None:
+    def __init__(self, node: Node, line: Line, working: Callable[[int], None]) -> None:
         super().__init__(BOUNDS, line, working)
         self.node = node
-        self.stopping = stopping
         self.served = False
         self.first = True  # no whole request has come yet
         self.first_by = super()._in(FIRST_MS)
@@ -55,13 +54,9 @@
 
     @property
     def closing(self) -> bool:
-        return self.node.closing and not self.first
-
-    @property
-    def last(self) -> bool:
         # Not from SIGTERM on: clients go on using what they have open, and where every other node is down too
         # it is all they have. Closed early, 11% of an incident's requests found nobody.
-        return self.node.closing or not self.keeps_alive
+        return self.node.closing and not self.first
 
     def head_wait(self) -> float:
         return KEPT_MS if self.served else self.bounds.idle_ms
@@ -82,7 +77,7 @@
     async def route(self, request: Request, came: int) -> None:
         self.first = False
         if request.path == READY and request.method == "GET":
-            await self.plain(503 if self.stopping() else 200, b"{}")
+            await self.plain(503 if self.node.leaves_by else 200, b"{}")
         elif request.path != SERVED:
             await self.plain(404, self.error("path", "no such path"))
         elif request.method != "POST":
--- a/runspool/node/members.py
+++ b/runspool/node/members.py
@@ -35,7 +35,7 @@
 _line: msgspec.json.Decoder[_Line] = msgspec.json.Decoder(_Line)
 
 
-def read_list(raw: bytes, epoch: str = "", since: int | None = None) -> tuple[News, list[str]]:
+def read_list(raw: bytes, since: int | None = None) -> tuple[News, list[str]]:
     """The news, and what was wrong with each line passed over; raises BadList where nothing can be used.
 
     `since` is the version that changes were asked after: they hold everything from there on.
@@ -55,7 +55,8 @@
     # Against a list of which nothing could be read passing for one that says every engine is gone.
     if told.snapshot and faults:
         raise BadList(faults[0])
-    return News(told.index, epoch, told.snapshot, False, entries, None if told.snapshot else since), faults
+    return News(told.index, whole=told.snapshot, engines=entries,
+                since=None if told.snapshot else since), faults
 
 
 def _entry(line: _Line) -> Entry:
--- a/runspool/node/node.py
+++ b/runspool/node/node.py
@@ -3,22 +3,21 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Protocol
 
 import anyio
-import anyio.lowlevel
 
 from runspool.decisions.interface import Ending, Role
-from runspool.engines.exchange import Barred, Ended
+from runspool.engines.exchange import Barred, Ended, Listener
 from runspool.front.desk import LEAVING
-from runspool.node.asks import Ask, Misworded
+from runspool.node.asks import Ask
 from runspool.node.calls import Calls
 from runspool.node.posting import Posting
-from runspool.service.carrying import Carrying
+from runspool.service.carrying import Carrying, Hearing
 from runspool.service.clock import now
 from runspool.service.owed import Owed, Refused, Site
 from runspool.service.quarter import Quarter
 from runspool.service.tape import Tape
+from runspool.wire.fields import Misworded
 
 NAMES_KNOWN = 20_000  # texts' names remembered before the one unseen for longest is forgotten
 STREAM_SILENCE_MS = 4_000  # after a stream's last event; its client is to be told before 5 s
@@ -28,13 +27,6 @@
 DESK = "node"
 
 
-class Reply(Protocol):
-    """Where a stream goes while it comes. Raises OSError where the client cannot be reached."""
-
-    async def begun(self) -> None: ...
-    async def said(self, data: bytes) -> None: ...
-
-
 @dataclass(frozen=True, slots=True)
 class Speech:
     """How a node speaks to engines or to the list; times in milliseconds."""
@@ -51,7 +43,6 @@
 @dataclass(slots=True, kw_only=True)
 class Held(Owed):
     ask: Ask
-    reply: Reply
     maybe_read: Site | None = None  # where a read that was lost or given up may have left a state
     letting_go: anyio.CancelScope | None = None  # of a call that lets go while the query goes on
 
@@ -65,15 +56,14 @@
         # An engine closes what has been idle for its time: a request that crosses that may count as run.
         idle_ms = granted.idle_for / 10 * 0.75 or 10_000.0
         self.calls = Calls(Speech(granted.connect_within / 10 or 250.0, idle_ms, connections, connections),
-                           now, STREAM_SILENCE_MS)
-        self.calls.pool.most = connections
+                           now, STREAM_SILENCE_MS, connections)
         self.open: set[str] = set()  # ids of the queries held
-        self.leaves_by = 0
+        self.leaves_by = 0  # 0 while nobody has asked this node to stop
         self.quarter = Quarter(DESK, granted.terms, posting.seed, self, Tape(None))
 
     # What comes in.
 
-    def take(self, ask: Ask, reply: Reply, came: int) -> Held:
+    def take(self, ask: Ask, reply: Listener[bytes], came: int) -> Held:
         """Takes a query: from here on it is owed one final answer. Raises Refused or Misworded."""
         if self.closing:
             raise Refused("closing", "this node is stopping; ask another")
@@ -82,9 +72,7 @@
         at, index = now(), self.arrived
         self.arrived += 1
         limit = min(came + ask.limit, self.leaves_by or came + ask.limit)
-        taken = Held(index, ask.id, came, limit, ask=ask, reply=reply)
-        session = None if ask.session is None else self.text_door.index("s" + ask.session, at)
-        beginning = None if ask.beginning is None else self.text_door.index("b" + ask.beginning, at)
+        taken = Held(index, ask.id, came, limit, reply, ask=ask)
         # The answer still has to reach the client within its time.
         budget = max(0, taken.limit - self.house.answer_slack - at)
         self.counts["again"] += ask.again
@@ -93,7 +81,8 @@
                        again=ask.again, resent=ask.resent)
         self.open.add(ask.id)
         self.owe(taken)
-        self._tell(self.quarter, index, Quarter.arrive, ask.query(index, session, beginning, budget))
+        query = ask.query(index, self.text("s", ask.session, at), self.text("b", ask.beginning, at), budget)
+        self._tell(self.quarter, index, Quarter.arrive, query)
         return taken
 
     def leave(self, by: int) -> None:
@@ -120,8 +109,8 @@
             taken.maybe_read = taken.maybe_read or site
         if site.role is Role.READER:
             return await self.calls.read(site.address, taken.ask, limit, barred)
-        return await self.calls.write(site.address, taken.ask, limit, barred,
-                                      _Hearing(self, taken, shot, sent))
+        hearing = Hearing(self, taken, shot, sent)
+        return await self.calls.write(site.address, taken.ask, limit, barred, hearing)
 
     def let_go(self, taken: Held) -> None:
         site = taken.state_at or taken.maybe_read
@@ -150,29 +139,7 @@
         with anyio.CancelScope() as taken.letting_go:
             for at in [site, *(other for other in others if other.address != site.address)][:RELEASE_TRIES]:
                 if await self.calls.release(at.address, taken.id, limit) is None:
-                    taken.letting_go = None
-                    return
+                    break
+            else:
+                self.log.warning("release_failed", query=taken.id, engine=site.name)
             taken.letting_go = None
-            self.log.warning("release_failed", query=taken.id, engine=site.name)
-
-
-class _Hearing:
-    """Passes a stream on; its first event is the decisions' news before it is the client's."""
-
-    __slots__ = ("node", "sent", "shot", "taken")
-
-    def __init__(self, node: Node, taken: Held, shot: int, sent: int) -> None:
-        self.node, self.taken, self.shot, self.sent = node, taken, shot, sent
-
-    async def begun(self) -> None:
-        if self.taken.final is not None:
-            return await anyio.lowlevel.checkpoint()  # answered while this was on its way: nothing after it
-        self.node.begun(self.taken, self.shot, self.sent)
-        await self.node.passed(self.taken, self.taken.reply.begun())
-
-    async def said(self, data: bytes) -> None:
-        if self.taken.final is not None:
-            return await anyio.lowlevel.checkpoint()
-        await self.node.passed(self.taken, self.taken.reply.said(data))
-
-
--- a/runspool/node/posting.py
+++ b/runspool/node/posting.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from runspool.engines.exchange import Address
+from runspool.engines.connections import Address
 from runspool.front.granted import Granted, Part, Unfit
 from runspool.node.members import BadList, read_list
 from runspool.wire.listing import News, address_of
--- a/runspool/node/running.py
+++ b/runspool/node/running.py
@@ -5,7 +5,7 @@
 import gc
 import resource
 import signal
-from collections.abc import Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import suppress
 
 import anyio
@@ -55,8 +55,10 @@
         self.stopping = anyio.Event()
         self.port = 0
 
-    async def run(self, *, task_status: TaskStatus[int] = anyio.TASK_STATUS_IGNORED) -> None:
-        """Serves until stop(); reports the port it listens on as started. Cancelled, it ends at once."""
+    async def run(self, signals: AsyncIterator[signal.Signals] | None = None, *,
+                  task_status: TaskStatus[int] = anyio.TASK_STATUS_IGNORED) -> None:
+        """Serves until stop(), or a signal to; reports the port it listens on as started. Raises BadPosting
+        where it cannot listen. Cancelled, it ends at once."""
         node, posting = self.node, self.posting
         node.engines_changed(node.following.recalled(posting.known.engines))
         try:
@@ -70,6 +72,8 @@
                 self.port = listener.extra(SocketAttribute.local_port)
                 for work in (node.timers.run, node.calls.vigil.run, self._sweep, self.catalog.follow):
                     tasks.start_soon(work)
+                if signals is not None:
+                    tasks.start_soon(self._obey, signals)
                 for each in listener.listeners:
                     tasks.start_soon(accept_all, each.extra(SocketAttribute.raw_socket), tasks, self._client)
                 self.log.info("node_listening", node=posting.name, port=self.port, clients=self.most,
@@ -87,6 +91,13 @@
         """Takes what still comes for a while; what is held ends in final answers first."""
         self.stopping.set()
 
+    async def _obey(self, signals: AsyncIterator[signal.Signals]) -> None:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                self.posted_again()
+            else:
+                self.stop()
+
     def posted_again(self) -> None:
         """A new configuration: the list's address is taken at once. A bad one leaves all as it was."""
         try:
@@ -111,21 +122,24 @@
         for intake, scope in list(self.clients.items()):
             if intake.idle_since:
                 scope.cancel()
-        told = False
         with anyio.move_on_after(LONGEST_STOP):
-            while self.busy or node.queries or node.releasing:
-                if now() > by and not told:
-                    told = True
-                    self.log.warning("node_still_holds", answers=self.busy, releases=node.releasing, queries={
-                        taken.id: [taken.begun, taken.shots, taken.final is not None, taken.limit - now()]
-                        for taken in list(node.queries.values())[:20]})
-                await anyio.sleep(0.02)
+            with anyio.move_on_after((by - now()) / 10_000) as in_time:
+                await self._nothing_held()
+            if in_time.cancelled_caught:
+                self.log.warning("node_still_holds", answers=self.busy, releases=node.releasing, queries={
+                    taken.id: [taken.begun, taken.shots, taken.final is not None, taken.limit - now()]
+                    for taken in list(node.queries.values())[:20]})
+                await self._nothing_held()
+
+    async def _nothing_held(self) -> None:
+        while self.busy or self.node.queries or self.node.releasing:
+            await anyio.sleep(0.02)
 
     async def _client(self, line: Line) -> None:
         if len(self.clients) >= self.most and not self._make_room():
             await self._turn_away(line)
             return
-        intake = Intake(self.node, line, self._working, self.stopping.is_set)
+        intake = Intake(self.node, line, self._working)
         with anyio.CancelScope() as scope:
             self.clients[intake] = scope
             try:
@@ -182,22 +196,4 @@
         # What is there at the start stays: looking through it again would stop a node for tens of ms.
         gc.collect()
         gc.freeze()
-        failed: BadPosting | None = None
-        async with anyio.create_task_group() as tasks:
-            async def listen() -> None:
-                async for number in signals:
-                    if number == signal.SIGHUP:
-                        running.posted_again()
-                    else:
-                        running.stop()
-
-            tasks.start_soon(listen)
-            try:
-                await running.run()
-            except BadPosting as fault:
-                failed = fault
-            tasks.cancel_scope.cancel()
-        if failed is not None:
-            raise failed
-
-
+        await running.run(signals)
--- a/runspool/roster/watching.py
+++ b/runspool/roster/watching.py
@@ -8,9 +8,9 @@
 import anyio
 import h11
 from anyio.abc import SocketStream
-import structlog
 
 from runspool.roster.following import Following
+from runspool.roster.hearing import Hearer
 from runspool.terms import ListTerms
 from runspool.wire.listing import Entry, Torn, read_news
 
@@ -32,27 +32,19 @@
         self.front = front
         self.following = following
         self.now = now
-        self.changed = changed
-        self.lost = lost
+        self.hearer = Hearer(following, now, changed, lost)
         self.source_address = source_address
-        self.log = structlog.get_logger()
         self.whole_next = True
-        self.heard = 0
 
     async def follow(self) -> None:
         """Runs until cancelled; whatever the service does, the last list stays."""
-        losses = 0
         while True:
-            before = self.heard
             try:
                 await self._once()
             except (Broken, Torn, OSError, TimeoutError, anyio.BrokenResourceError, anyio.EndOfStream,
                     h11.RemoteProtocolError) as fault:
-                losses = 1 if self.heard != before else losses + 1
-                if losses.bit_count() == 1:  # the 1st, 2nd, 4th, 8th: a long loss must not fill the log
-                    self.log.warning("list_lost", reason=str(fault) or type(fault).__name__,
-                                     losses=losses, version=self.following.version)
-            self.lost()
+                self.hearer.broke(fault)
+            self.hearer.lost()
             await anyio.sleep(self.terms.retry_ms / 1000)
 
     async def _once(self) -> None:
@@ -109,14 +101,9 @@
         except Torn:
             self.whole_next = True  # what it said is not known
             raise
-        self.heard += 1
         if news.whole:
             self.whole_next = False
-        changed = self.following.heard(self.now(), news)
-        if changed:
-            self.log.info("list_changed", version=news.version, whole=news.whole,
-                          engines={entry.engine: entry.state for entry in changed[:20]}, count=len(changed))
-            self.changed(changed)
+        self.hearer.hear(news)
         if self.following.wants_whole(self.now()):
             self.whole_next = True
             raise Broken(f"news is missing after version {self.following.version}")
--- a/runspool/service/carrying.py
+++ b/runspool/service/carrying.py
@@ -117,6 +117,10 @@
             self.engine_door.forget(name)
         self.relisted()
 
+    def text(self, kind: str, name: str | None, at: int) -> int | None:
+        """The index of a text by its kind and name, None where it has no name."""
+        return None if name is None else self.text_door.index(kind + name, at)
+
     def scrap_all(self) -> None:
         """The stop's last resort: whoever still waits gets the answer that promises nothing."""
         for taken in list(self.queries.values()):
@@ -218,7 +222,8 @@
 
     def begun(self, taken: T, shot: int, sent: int) -> None:
         """The first token has come; the decisions hear of it before the client."""
-        taken.begun, taken.state_at = True, None
+        taken.begun = True
+        self.waits_at(taken, None, None)
         self._tell(self.desk_of(taken), taken.index, Quarter.begun, taken.index, shot, now() - sent)
 
     async def passed(self, taken: T, sending: Awaitable[None]) -> None:
@@ -305,6 +310,27 @@
                       mark(entry.engine))
 
 
+class Hearing(Generic[T]):
+    """Passes a streamed answer on; its first token is the decisions' news before it is the client's."""
+
+    __slots__ = ("front", "sent", "shot", "taken")
+
+    def __init__(self, front: Carrying[T], taken: T, shot: int, sent: int) -> None:
+        self.front, self.taken, self.shot, self.sent = front, taken, shot, sent
+
+    async def begun(self) -> None:
+        taken = self.taken
+        if taken.final is not None:
+            return await anyio.lowlevel.checkpoint()  # answered while this was on its way: nothing after it
+        self.front.begun(taken, self.shot, self.sent)
+        await self.front.passed(taken, taken.reply.begun())
+
+    async def said(self, piece: Any) -> None:
+        if self.taken.final is not None:
+            return await anyio.lowlevel.checkpoint()
+        await self.front.passed(self.taken, self.taken.reply.said(piece))
+
+
 def started(entry: Entry, unix_ms_at_zero: float) -> int:
     """An engine's start on the front's clock, in tenths of a millisecond, at least 1; 0 for long ago."""
     if not entry.started_unix_ms:
--- a/runspool/service/conversation.py
+++ b/runspool/service/conversation.py
@@ -15,6 +15,7 @@
 from runspool.service.talk import Sending, Talk
 from runspool.sockets.lines import Gone, Line
 from runspool.wire import completions as wire
+from runspool.wire.fields import Misworded
 from runspool.wire.requests import CHUNKS_END, Request, chunk, head
 
 # A dismissal invites another try; a scrapping must not look like one of the statuses that client
@@ -57,8 +58,8 @@
         try:
             wish = wire.read_wish(request.headers, bytes(request.body), self.front.terms)
             if wish.stream and request.version == "1.0":
-                raise wire.Misworded("stream", "an answer in parts needs HTTP/1.1", 505)
-        except wire.Misworded as bad:
+                raise Misworded("stream", "an answer in parts needs HTTP/1.1", 505)
+        except Misworded as bad:
             await self.plain(bad.status, wire.error_body("invalid_request_error", bad.where, str(bad)))
             return
         reply = _Streamed(self) if wish.stream else _Gathered()
--- a/runspool/service/front.py
+++ b/runspool/service/front.py
@@ -16,17 +16,17 @@
 from runspool.cells.placing import Place
 from runspool.decisions.interface import Ending, Listed, Query, Role
 from runspool.engines.endings import Mishap
-from runspool.engines.exchange import Barred, Ended
+from runspool.engines.exchange import Barred, Ended, Listener
 from runspool.engines.shots import Caller, State
 from runspool.front import Desk
 from runspool.front.door import mark
 from runspool.service.budget import first_token_budget
-from runspool.service.carrying import Carrying
+from runspool.service.carrying import Carrying, Hearing
 from runspool.service.clock import now, unix_ms
 from runspool.service.owed import Final, Kind, Refused, Site
 from runspool.service.quarter import Quarter
 from runspool.service.tape import Tape
-from runspool.service.taken import Reply, Taken
+from runspool.service.taken import Taken
 from runspool.terms import Terms
 from runspool.units import tenths
 from runspool.wire.completions import Wish
@@ -73,7 +73,7 @@
 
     # What comes in.
 
-    def take(self, wish: Wish, reply: Reply, came: int) -> Taken:
+    def take(self, wish: Wish, reply: Listener[str], came: int) -> Taken:
         """Takes a query: from here on it is owed one final answer. Raises Refused where it is not taken."""
         if self.closing:
             raise Refused("closing", "this front is stopping; ask another")
@@ -83,14 +83,13 @@
         at = now()
         limit = came + wish.limit
         name = f"{self.terms.front.name}-{self.life:x}-{index}"
-        taken = Taken(index, name, came, limit, wish=wish, reply=reply, headers=self._passed_on(wish),
-                      stay=stay)
+        taken = Taken(index, name, came, limit, reply, wish=wish, headers=self._passed_on(wish), stay=stay)
         query = Query(
             index=index,
             tariff=self.tariffs[wish.tariff],
             tenant=None if wish.tenant is None else self.tenants[wish.tenant],
-            session=None if wish.session is None else self.text_door.index("s" + wish.session, at),
-            beginning=None if wish.beginning is None else self.text_door.index("b" + wish.beginning, at),
+            session=self.text("s", wish.session, at),
+            beginning=self.text("b", wish.beginning, at),
             prompt=wish.prompt,
             beginning_length=wish.beginning_length,
             most_out=wish.most_out,
@@ -216,7 +215,7 @@
             ended = await self.caller.read(site.address, body, headers, limit, barred)
         else:
             ended = await self.caller.write(site.address, body, taken.state, headers, limit, barred,
-                                            taken.wish.most_out, _Hearing(self, taken, shot, sent))
+                                            taken.wish.most_out, Hearing(self, taken, shot, sent))
         if ended.mishap in BROKE:
             await self._look_for_poison(taken, site)
         return ended
@@ -272,25 +271,3 @@
         said = {"Runspool-Mark": wish.mark, "Runspool-Tariff": wish.tariff, "Runspool-Tenant": wish.tenant,
                 "Runspool-Ticket": wish.ticket, "Runspool-Front": self.terms.front.name}
         return {name: value for name, value in said.items() if value}
-
-
-class _Hearing:
-    """Passes a streamed answer on; its first token is the decisions' news before it is the client's."""
-
-    __slots__ = ("front", "sent", "shot", "taken")
-
-    def __init__(self, front: Front, taken: Taken, shot: int, sent: int) -> None:
-        self.front, self.taken, self.shot, self.sent = front, taken, shot, sent
-
-    async def begun(self) -> None:
-        taken = self.taken
-        if taken.final is not None:
-            return await anyio.lowlevel.checkpoint()  # answered while this was on its way: nothing after it
-        taken.state = None
-        self.front.begun(taken, self.shot, self.sent)
-        await self.front.passed(taken, taken.reply.begun())
-
-    async def said(self, text: str) -> None:
-        if self.taken.final is not None:
-            return await anyio.lowlevel.checkpoint()
-        await self.front.passed(self.taken, self.taken.reply.said(text))
--- a/runspool/service/owed.py
+++ b/runspool/service/owed.py
@@ -4,11 +4,13 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 
 import anyio
 
 from runspool.decisions.interface import Role
-from runspool.engines.exchange import Address, Ended
+from runspool.engines.connections import Address
+from runspool.engines.exchange import Ended, Listener
 
 
 class Kind(Enum):
@@ -55,6 +57,7 @@
     id: str
     came: int
     limit: int  # on the front's clock: when the client's time is up
+    reply: Listener[Any]  # where its answer goes while it comes; raises OSError where that cannot be reached
     shots: int = 0
     state_at: Site | None = None  # the engine where the read state waits
     scope: anyio.CancelScope | None = None  # of the shot that is out
--- a/runspool/wire/completions.py
+++ b/runspool/wire/completions.py
@@ -14,9 +14,9 @@
 
 from runspool.terms.checked import TariffPart, Terms
 from runspool.units import TENTHS, tenths
+from runspool.wire import fields
+from runspool.wire.fields import TOKEN_BYTES, Misworded
 
-MOST_NAME = 256  # bytes of a session's, beginning's, mark's or ticket's name
-TOKEN_BYTES = 4  # of text, where the client does not count its own tokens
 DEFAULT_OUT = 256
 DONE = b"data: [DONE]\n\n"
 
@@ -43,14 +43,6 @@
     body: dict[str, msgspec.Raw]
 
 
-class Misworded(Exception):
-    """A query that cannot be taken: `where` names the header or field, `status` is the HTTP status."""
-
-    def __init__(self, where: str, what: str, status: int = 400) -> None:
-        super().__init__(f"{where}: {what}")
-        self.where, self.what, self.status = where, what, status
-
-
 def read_wish(headers: Mapping[str, str], body: bytes, terms: Terms) -> Wish:
     """A checked wish from lower-case headers and a body; raises Misworded at the first thing wrong."""
     try:
@@ -109,19 +101,11 @@
 
 
 def _whole(headers: Mapping[str, str], name: str, absent: int, least: int, most: int) -> int:
-    said = headers.get(name)
-    if said is None:
-        return absent
-    if not (said.isascii() and said.isdigit()) or len(said) > 12 or not least <= int(said) <= most:
-        raise Misworded(name, f"{said[:40]!r} is no whole number from {least} to {most}")
-    return int(said)
+    return fields.whole(headers.get(name), name, absent, least, most)
 
 
 def _name(headers: Mapping[str, str], name: str) -> str | None:
-    said = headers.get(name)
-    if said is not None and not 0 < len(said) <= MOST_NAME:
-        raise Misworded(name, f"must have 1 to {MOST_NAME} bytes")
-    return said
+    return fields.name(headers.get(name), name)
 
 
 def _field(fields: dict[str, msgspec.Raw], name: str, kind: type[Any], absent: Any) -> Any:
--- a/tests/histories.py
+++ b/tests/histories.py
@@ -23,16 +23,15 @@
 
 from runspool.decisions.interface import Ending
 from runspool.engines.endings import ENDINGS, Mishap
-from runspool.engines.shots import Ended
-from runspool.engines.exchange import Barred
-from runspool.engines.shots import Address, Listener, State
+from runspool.engines.connections import Address
+from runspool.engines.exchange import Barred, Ended, Listener
+from runspool.engines.shots import State
 from runspool.front.desk import BACKGROUND
 from runspool.lab.director import front_terms
 from runspool.lab.plan import ClientsPlan, FrontPlan, Plan, TariffPlan, TenantPlan, engine
 from runspool.lab.recording import Event
 from runspool.service.front import Front
-from runspool.service.owed import Refused
-from runspool.service.owed import Kind
+from runspool.service.owed import Kind, Refused
 from runspool.terms import terms_of
 from runspool.wire.completions import read_wish
 from runspool.wire.listing import Entry, News
@@ -205,7 +204,7 @@
         return await self._shot(address, "read", headers, limit, work)
 
     async def write(self, address: Address, query: State, state: State | None, headers: Any, limit: int,
-                    barred: Barred, most_out: int, listener: Listener) -> Ended:
+                    barred: Barred, most_out: int, listener: Listener[str]) -> Ended:
         async def work(one: Played, request: str, try_: str, told: Ended, scope: anyio.CancelScope) -> str:
             row = self._mishap({"full": 0.25, "failed": 0.1, "failed_after": 0.1, "cut": 0.2, "silent": 0.1,
                                 "silent_ran": 0.1, "cut_stream": 0.15})
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
@@ -58,6 +59,7 @@
 
 
 GOOD = STREAM + b"".join(map(chunked, EVENTS)) + b"0\r\n\r\n"
+REST = b"".join(map(chunked, EVENTS[1:])) + b"0\r\n\r\n"  # what follows a stream's first event
 READ = whole(202, b'{"cached_tokens":8}')
 
 
@@ -71,12 +73,12 @@
     reader: asyncio.StreamReader = field(default=None, repr=False)  # type: ignore[assignment]
     writer: asyncio.StreamWriter = field(default=None, repr=False)  # type: ignore[assignment]
 
+    down: Callable[[], None] = field(default=lambda: None, repr=False)  # the engine takes no more connections
+
     async def say(self, data: bytes) -> None:
         self.writer.write(data)
         await self.writer.drain()
 
-    down: Callable[[], None] = field(default=lambda: None, repr=False)  # the engine takes no more connections
-
     def reset(self) -> None:
         self.writer.transport.abort()
 
@@ -108,6 +110,15 @@
     return script
 
 
+def waits_for(go: asyncio.Event) -> Script:
+    """Begins a stream at once, and ends it when `go` is set."""
+    async def script(asked: Request) -> None:
+        await asked.say(STREAM + chunked(EVENTS[0]))
+        await go.wait()
+        await asked.say(REST)
+    return script
+
+
 async def resets(asked: Request) -> None:
     asked.reset()
 
@@ -124,14 +135,12 @@
         self.scripts: list[Script] = []  # one a request but DELETE, then the usual again
         self.server: asyncio.Server
         self.port = 0
-        self.connections = 0
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, HOST, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections += 1
         async with self.platform.serving(writer):
             while not writer.transport.is_closing():
                 asked = await request_of(reader)
@@ -331,18 +340,27 @@
     @asynccontextmanager
     async def open(self) -> AsyncIterator[Platform]:
         """Engines, agent and a node that says it is ready; the node is ended at the end."""
+        async with self._around(), self._node():
+            yield self
+
+    @asynccontextmanager
+    async def _around(self) -> AsyncIterator[None]:
+        """Engines and agent; whatever a test left open to the node is closed at the end."""
         async with self.agent() as self.agent_port:
             for engine in self.engines.values():
                 await engine.start()
-            async with self._node():
-                yield self
+            try:
+                yield
+            finally:
+                for engine in self.engines.values():
+                    engine.server.close()
+                for client in self.clients:
+                    client.close()
 
     @asynccontextmanager
     async def inside(self) -> AsyncIterator[Running]:
         """The same with the node in this process, to look into."""
-        async with self.agent() as self.agent_port:
-            for engine in self.engines.values():
-                await engine.start()
+        async with self._around():
             posting = read_posting({"BALANCER_CONFIG": str(self.write_config(listen="127.0.0.1:1"))})
             posting = replace(posting, listen=("127.0.0.1", 0))
             running, ready = Running(posting, lambda: posting, self.sockets), _Ready()
@@ -354,10 +372,6 @@
             finally:
                 task.cancel()
                 await asyncio.gather(task, return_exceptions=True)
-                for engine in self.engines.values():
-                    engine.server.close()
-                for client in self.clients:
-                    client.close()
 
     @asynccontextmanager
     async def _node(self) -> AsyncIterator[None]:
@@ -382,10 +396,6 @@
                 self.process.kill()
             await self.process.wait()
             await logging
-            for engine in self.engines.values():
-                engine.server.close()
-            for client in self.clients:
-                client.close()
 
     async def _keep_log(self) -> None:
         assert self.process.stderr is not None
@@ -393,8 +403,8 @@
             self.log += line
             self.changed()
 
-    async def logged(self, event: str, times: int = 1) -> None:
-        await self.until(lambda: self.log.count(f'"event":"{event}"'.encode()) >= times)
+    async def logged(self, event: str) -> None:
+        await self.until(lambda: f'"event":"{event}"'.encode() in self.log)
 
     def signal(self, number: signal.Signals) -> None:
         self.process.send_signal(number)
@@ -420,7 +430,6 @@
 
 
 def free_port() -> int:
-    import socket
     with socket.socket() as one:
         one.bind((HOST, 0))
         return int(one.getsockname()[1])
--- a/tests/test_beliefs.py
+++ b/tests/test_beliefs.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from tests.platform import EVENTS, GOOD, READ, STREAM, Platform, Request, chunked, post, whole
+from tests.platform import EVENTS, GOOD, READ, REST, STREAM, Platform, Request, chunked, post, whole
 from runspool.decisions.interface import Role
 
 pytestmark = pytest.mark.anyio
@@ -116,7 +116,7 @@
 
 
 async def _ends(asked: Request) -> None:
-    await asked.say(b"".join(map(chunked, EVENTS[1:])) + b"0\r\n\r\n")
+    await asked.say(REST)
 
 
 async def _cuts(asked: Request) -> None:
--- a/tests/test_doctored.py
+++ b/tests/test_doctored.py
@@ -22,7 +22,8 @@
 from runspool.lab.engine import Engine
 from runspool.service.clock import now
 from runspool.service.conversation import Conversation, _Streamed
-from runspool.service.front import Front, _Hearing
+from runspool.service.carrying import Hearing
+from runspool.service.front import Front
 from runspool.sockets.lines import Gone
 from runspool.wire import completions as wire
 from runspool.wire.listing import Entry as Line
@@ -128,13 +129,13 @@
 
 
 def loses_a_token(patch: pytest.MonkeyPatch) -> None:
-    sound = _Hearing.said
+    sound = Hearing.said
 
-    async def said(one: _Hearing, text: str) -> None:
+    async def said(one: Hearing[Any], text: str) -> None:
         if "t3" not in text:
             await sound(one, text)
 
-    patch.setattr(_Hearing, "said", said)
+    patch.setattr(Hearing, "said", said)
 
 
 def does_not_hear_of_drains(patch: pytest.MonkeyPatch) -> None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -12,8 +12,9 @@
 
 from runspool.decisions.interface import NEVER_RAN, Ending
 from runspool.engines.endings import ENDINGS, Mishap, may_have_run
-from runspool.engines.shots import Caller, Ended
-from runspool.engines.shots import Address, State
+from runspool.engines.connections import Address
+from runspool.engines.exchange import Ended
+from runspool.engines.shots import Caller, State
 from runspool.lab.engine import ROWS, Engine
 from runspool.lab.recording import Recorder
 from runspool.service.clock import now
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -17,7 +17,7 @@
 from runspool.roster.following import GONE_KEPT
 from runspool.roster.memory import keep
 from runspool.service.clock import unix_ms, unix_ms_at_zero
-from runspool.service.front import _Hearing
+from runspool.service.carrying import Hearing
 from runspool.service.owed import Final, Kind
 from runspool.service.taken import Taken
 from runspool.sockets import lines
@@ -124,7 +124,7 @@
 
         wish = read_wish({"runspool-tariff": "ask"}, b'{"prompt": "x"}', front.terms)
         taken = Taken(0, "q", 0, 10, wish=wish, reply=Ear(), headers={}, stay=front._let_in(wish))
-        hearing = _Hearing(front, taken, 1, 0)
+        hearing = Hearing(front, taken, 1, 0)
         await hearing.said("before")
         assert taken.settle(Final(Kind.SCRAPPED))
         await hearing.begun()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,7 +14,7 @@
 from runspool.sockets.lines import Line, dial
 from tests.platform import (
     BODY, EVENTS, GOOD, READ, SETTINGS, STREAM, Platform, Request, Script, chunked, post, resets, says,
-    silent, whole,
+    silent, waits_for, whole,
 )
 
 pytestmark = pytest.mark.anyio
@@ -277,16 +277,11 @@
 async def test_at_sigterm_what_still_comes_is_served_and_streams_run_to_their_ends(tmp_path: Path) -> None:
     go = asyncio.Event()
 
-    async def waits(asked: Request) -> None:
-        await asked.say(STREAM + chunked(EVENTS[0]))
-        await go.wait()
-        await asked.say(b"".join(map(chunked, EVENTS[1:])) + b"0\r\n\r\n")
-
     async with Platform(tmp_path, PAIR).open() as platform:
         kept = await platform.client()
         kept.send(post("q0"))
         assert (await kept.answer()).whole
-        platform.engines["w"].scripts = [waits]
+        platform.engines["w"].scripts = [waits_for(go)]
         running = await platform.client()
         running.send(post("q1"))
         answer = await running.head()
@@ -425,15 +420,10 @@
 async def test_descriptors_stay_under_their_cap_and_whoever_asks_is_answered(tmp_path: Path) -> None:
     go = asyncio.Event()
 
-    async def waits(asked: Request) -> None:
-        await asked.say(STREAM + chunked(EVENTS[0]))
-        await go.wait()
-        await asked.say(b"".join(map(chunked, EVENTS[1:])) + b"0\r\n\r\n")
-
     platform = Platform(tmp_path, PAIR)
     platform.sockets = 64
     async with platform.open():
-        platform.engines["w"].scripts = [waits] * 100
+        platform.engines["w"].scripts = [waits_for(go)] * 100
         held = Path(f"/proc/{platform.process.pid}/fd")
         most = 0
         statuses = []
