--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -47,6 +47,8 @@
 OWN_READS = 2.5  # times a read takes the time of its own that must be left for it
 SHOT_PART = 0.8  # of the time left, for a shot after which another may follow
 LEAST_CAP = 300 * MILLI
+REPEATS = 0.3  # reads that may be sent again for each that ends well, against an overload kept up by them
+MOST_REPEATS = 10.0
 SLOW = 4  # times the predicted wait before a shot counts as hung
 COLD_SAFETY = 0.4
 GOLDEN = 0.618034  # spreads one draw over many engines
@@ -125,6 +127,7 @@
         self.carried = self.borne = 0.0  # own streams a writer, and their part of the writers' memory
         self.beginnings: list[int] = []  # those of the last queries
         self.balance: dict[int, float] = {}  # rack: its writers under the threshold a reader, 1 is usual
+        self.repeats = 2.0  # reads after one given up or turned away that are allowed now
         self.room: list[tuple[bool, int, int]] = []  # reads held at the front, the most pressing first
 
     def query(self, q: Query) -> Generator[Ask, Any, None]:
@@ -161,6 +164,7 @@
         place = (over, self.now + int((due - self.now) * (not q.again) / max(row.terms.gain, 0.1)), q.index)
         state: Engine | None = None
         held = shots = ran_at = 0  # held: since when the state waits
+        spent = False  # a read was given up or turned away: another is on the budget of repeats
         ran: Engine | None = None  # the first engine whose shot may have run
         failed: list[int] = []
         while not q.over and shots < self.terms.max_shots and self.now < limit:
@@ -187,7 +191,9 @@
             if engine is None:
                 if not state and place not in self.room:
                     insort(self.room, place)
-                until = min(self.now + RETRY, limit)
+                # Against a long line's looks, past their latest each its own, taking all of a node's CPU.
+                behind = len(self.room) if not state and self.room[0] != place else 1
+                until = min(self.now + RETRY * behind, limit if state else max(due, self.now + 1), limit)
                 if self.now >= due:
                     break
                 if state and until > held + self.terms.release_within - MARGIN:
@@ -196,12 +202,18 @@
                 yield Wait(until)
                 continue
             self.room = [other for other in self.room if other != place]
+            if spent:
+                if self.repeats < 1:
+                    break
+                self.repeats, spent = self.repeats - 1, False
             shots += 1
             effect = engine.role is not Role.READER
             wait = self.wait(engine) if state else self.predicted(engine, q)
             wait += int(self.link(state.rack)) if state and state.rack != engine.rack else 0
             sent, cap = self.now, 0
-            if shots < self.terms.max_shots and (not effect or row.terms.effect is Effect.RERUNNABLE):
+            may_repeat = self.repeats >= 1 or state or q.again  # else what is given up is only wasted
+            if may_repeat and shots < self.terms.max_shots and (
+                    not effect or row.terms.effect is Effect.RERUNNABLE):
                 # Work given up may go on there: what is merely slow, as far as foreseen, is left alone.
                 left = (due if self.now < due - 2 * LEAST_CAP else limit) - self.now
                 cap = max(LEAST_CAP, int(left * SHOT_PART), SLOW * wait)
@@ -213,11 +225,13 @@
                 return
             if out.ending is Ending.READ:
                 state, held, failed = engine, self.now, []
+                self.repeats = min(MOST_REPEATS, self.repeats + REPEATS)
             elif out.ending is Ending.STATELESS:
                 state = None
             elif out.ending is not Ending.SUCCEEDED:
                 held = self.now
                 failed.append(engine.id)
+                spent = not state and not q.again and out.ending in (Ending.OVERDUE, Ending.FULL)
             if effect and not ran and out.ending not in NEVER_RAN:
                 ran, ran_at = engine, sent
         if state:
@@ -389,7 +403,8 @@
 
     def lag(self, e: Engine) -> float:
         """What other fronts' reads, or slowness, cost there; an unheard engine counts as its peers."""
-        return self.expected(e.lag, self.lags[e.role])
+        # Against jammed peers making a starting engine look jammed too: its queue began with its start.
+        return self.expected(e.lag, self.lags[e.role] if self.warmth(e) == 1.0 else Known())
 
     def expected(self, own: Known, peers: Known) -> float:
         usual = peers.time * self.faded(peers.heard)
@@ -419,7 +434,12 @@
     def others(self, e: Engine) -> float:
         self.survey()
         usual = self.borne * (e.memory or 1)
-        return (self.terms.fronts - 1) * usual * (EVIDENCE + len(e.streams)) / (EVIDENCE + self.carried)
+        told = (self.terms.fronts - 1) * usual * (EVIDENCE + len(e.streams)) / (EVIDENCE + self.carried)
+        if self.carried >= 1 or not e.memory:
+            return told
+        # Against a front of several times the mean traffic taking all writers for full: with so few streams
+        # it knows nothing of the rest, and only an engine's own word says that it is over.
+        return min(told, DISPATCH * (e.cap or e.memory))
 
     def strain(self, e: Engine, q: Query) -> float:
         """Load, and the wait for a first token there: a hung or jammed writer must not look roomy."""
@@ -528,6 +548,8 @@
             elif state and state.rack == e.rack:
                 self.learn(e.wait, self.waits[e.role], out.took)
         elif out.ending is Ending.FULL:
+            if tokens:  # against hundreds of fronts asking it again: its queue cannot be read in time
+                self.learn(e.lag, self.lags[e.role], max(out.took, self.row(q).terms.due))
             if e.role is not Role.READER and not e.cap:
                 e.cap = max(e.tokens + int(self.others(e)), e.memory // 2)
         elif out.ending not in (Ending.STATELESS, Ending.VOID, Ending.RECALLED):
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -6,10 +6,11 @@
 from collections.abc import Callable
 from random import Random
 from threading import Thread
+from typing import Any
 
 import pytest
 
-from runspool.decisions.interface import Effect, Ending, Group, Listed, Outcome, Query, Roster
+from runspool.decisions.interface import Effect, Ending, Group, Listed, Outcome, Query, Role, Roster
 from runspool.decisions.rules import LEFT_KEPT, SECOND, Engine
 from runspool.front.desk import BACKGROUND, Entered
 from tests.fakehost import MIXED, READER, WRITER, FakeHost, terms
@@ -71,9 +72,9 @@
     host.desk.rules.draw = rng.random
     recount = Recount(host)
     old: list[tuple[int, int, Ending]] = []  # ends of shots that were told already
-    for step in range(1_500):
+    for step in range(2_000):
         move = rng.random()
-        if move < 0.25 and step < 1_200:
+        if move < 0.25 and step < 1_600:
             host.ask(rng.randrange(100, 6_000), rng.choice([SECOND, 4 * SECOND]), rng.randrange(20))
         elif move < 0.35:
             host.wait(rng.randrange(1, 800))
@@ -287,3 +288,79 @@
     host.end(two, Ending.RECALLED, over=True)
     host.wait(10 * SECOND)
     assert books(host) == []
+
+
+def test_a_starting_engine_is_no_more_jammed_than_its_own_reads_say() -> None:
+    host = FakeHost([READER, READER, READER, WRITER], terms(fronts=100))
+    rules = host.desk.rules
+    for engine in (0, 1):
+        rules.learn(rules.engines[engine].lag, rules.lags[Role.READER], SECOND)
+    host.tell(2, started=host.now - SECOND)
+    assert rules.warmth(rules.engines[2]) < 1 and rules.lag(rules.engines[2]) == 0
+    assert rules.lag(rules.engines[0]) > 0
+    rules.learn(rules.engines[2].lag, rules.lags[Role.READER], SECOND)
+    assert rules.lag(rules.engines[2]) > 0
+
+
+def test_a_reader_that_was_full_is_not_the_one_with_the_least_wait() -> None:
+    host = FakeHost([READER, READER, WRITER])
+    query = host.ask(budget=10 * SECOND)
+    first = host.at(query)
+    host.end(query, Ending.FULL, took=5)
+    assert host.at(query) != first
+    host.serve(query)
+    assert host.at(host.ask(budget=10 * SECOND)) != first
+
+
+def test_a_busy_front_among_hundreds_does_not_take_all_writers_for_full() -> None:
+    host = FakeHost([READER, READER, *[WRITER] * 20], terms(fronts=200))
+    for session in range(8):
+        query = host.ask(prompt=3_000, budget=10 * SECOND, session=session)
+        host.end(query, Ending.READ, took=100)
+        host.begin(query, took=100)
+        host.wait(10)
+    assert host.shots_of(host.ask(prompt=3_000, budget=10 * SECOND)) == 1
+
+
+def test_a_long_line_looks_at_the_engines_little_more_often_than_one_query() -> None:
+    def looks(waiting: int) -> int:
+        host = FakeHost([READER, WRITER], terms(max_shots=5))
+        rules, counted, sound = host.desk.rules, [0], host.desk.rules.pick_reader
+        host.ask(prompt=20_000, budget=60 * SECOND)  # a queue that is over the line while it is out
+
+        def pick(*said: Any) -> Any:
+            counted[0] += 1
+            return sound(*said)
+
+        rules.pick_reader = pick  # type: ignore
+        rules.rates[Role.READER] = 8.0
+        for _ in range(waiting):
+            host.ask(prompt=100, budget=60 * SECOND)
+        at = counted[0]
+        host.wait(SECOND - 100)
+        return counted[0] - at
+
+    one, many = looks(1), looks(30)
+    assert one > 0
+    assert many < 4 * one
+
+
+def test_reads_given_up_are_repeated_only_as_far_as_others_end_well() -> None:
+    host = FakeHost([READER] * 4 + [WRITER])
+    for _ in range(2):  # what a front may repeat before it has heard of any read that ended well
+        query = host.ask(budget=10 * SECOND)
+        assert host.shots[-1][2] > 0
+        host.end(query, Ending.OVERDUE, took=SECOND // 10)
+        assert host.shots_of(query) == 2
+        host.desk.left(host.now, query)
+        host.end(query, Ending.RECALLED)
+    query = host.ask(budget=10 * SECOND)
+    assert host.shots[-1][2] == 0  # nothing may follow, so it is not given up before the client's time
+    host.end(query, Ending.OVERDUE, took=SECOND // 10)
+    assert (host.shots_of(query), host.of(query)[-1]) == (1, "dismiss")
+    for _ in range(4):
+        query = host.ask(budget=10 * SECOND)
+        host.serve(query)
+    query = host.ask(budget=10 * SECOND)
+    host.end(query, Ending.OVERDUE, took=SECOND // 10)
+    assert host.shots_of(query) == 2
