--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -192,7 +192,7 @@
                 if not state and place not in self.room:
                     insort(self.room, place)
                 # Against a long line's looks, past their latest each its own, taking all of a node's CPU.
-                behind = len(self.room) if not state and self.room[0] != place else 1
+                behind = max(1, len(self.room) // 4) if not state and self.room[0] != place else 1
                 until = min(self.now + RETRY * behind, limit if state else max(due, self.now + 1), limit)
                 if self.now >= due:
                     break
