--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -364,3 +364,14 @@
     query = host.ask(budget=10 * SECOND)
     host.end(query, Ending.OVERDUE, took=SECOND // 10)
     assert host.shots_of(query) == 2
+
+
+def test_a_thousand_engines_and_fronts_are_listed_and_used() -> None:
+    host = FakeHost([READER] * 512 + [WRITER] * 512, terms(fronts=1_024))
+    assert sum(e.on for e in host.desk.rules.engines.values()) == 1_024
+    queries = []
+    for session in range(20):
+        queries.append(host.ask(session=session, mark=session * 7_919, beginning=session))
+        host.serve(queries[-1])
+        host.wait(100)
+    assert all(host.shots_of(query) == 2 for query in queries)
