--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -193,9 +193,9 @@
                     insort(self.room, place)
                 # Against a long line's looks, past their latest each its own, taking all of a node's CPU.
                 behind = max(1, len(self.room) // 4) if not state and self.room[0] != place else 1
-                until = min(self.now + RETRY * behind, limit if state else max(due, self.now + 1), limit)
                 if self.now >= due:
                     break
+                until = min(self.now + RETRY * behind, limit if state else due)
                 if state and until > held + self.terms.release_within - MARGIN:
                     yield Release()
                     state = None
