A call that lets a state go asks the next engine after 25 ms, the last heard from first

By reading: a call waited 100 ms for each engine in turn, six at most, and asked those with any idle connection next, however old; in a node of a cut zone two in three engines are silent, and the time runs on.

Tests: the call above; homes, reads left alone, lessons by age, later tries; a small fleet in a jam.

--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -219,8 +219,8 @@
             may_repeat = self.repeats >= 1 or state or q.again  # else what is given up is only wasted
             if may_repeat and shots < self.terms.max_shots and (
                     not effect or row.terms.effect is Effect.RERUNNABLE):
-                # Work given up may go on there: what is merely slow, as far as foreseen, is left alone; a read
-                # until it is due, for in a jam one read again makes two of one that comes as late.
+                # Work given up may go on there: what is merely slow, as far as foreseen, is left alone; a
+                # read until it is due, for in a jam one read again makes two of one that comes as late.
                 left = (due if self.now < due - 2 * LEAST_CAP else limit) - self.now
                 cap = max(LEAST_CAP, int(left * (SHOT_PART if effect else 1)), SLOW * wait)
             self.sent(q, engine, state)
--- a/runspool/node/node.py
+++ b/runspool/node/node.py
@@ -17,12 +17,13 @@
 from runspool.service.owed import Owed, Refused, Site
 from runspool.service.quarter import Quarter
 from runspool.service.tape import Tape
+from runspool.units import TENTHS
 from runspool.wire.fields import Misworded
 
 NAMES_KNOWN = 20_000  # texts' names remembered before the one unseen for longest is forgotten
 STREAM_SILENCE_MS = 4_000  # after a stream's last event; its client is to be told before 5 s
 EVENT_BYTES = 65_536  # of one event, and of a read's answer
-RELEASE_TRIES = 6  # engines asked, one after the other, to let go of a state
+RELEASE_TRIES = 6  # engines asked to let go of a state, within half the time there is for it
 READ_MAYBE = frozenset({Ending.OVERDUE, Ending.RECALLED, Ending.SEVERED, Ending.ERRORED})
 DESK = "node"
 
@@ -131,15 +132,31 @@
         self.let_go(taken)
 
     async def _let_go(self, taken: Held, site: Site) -> None:
-        """Against a call lost on its way pinning the state: any engine takes it, so another is asked next."""
-        limit = max(1, self.house.release_within // 3)
+        """Against a call lost on its way pinning the state: any engine takes it, so after a while without an
+        answer another is asked beside, those first that this node has heard from last."""
+        patience = self.house.release_within // (2 * RELEASE_TRIES)
         idle = self.calls.pool.idle
-        others = sorted((self.sites[line.engine] for line in self.lines.values() if line.state == "on"),
-                        key=lambda other: not idle.get(other.address))
+
+        def heard(other: Site) -> int:
+            return max((link.idle_since for link in idle.get(other.address, ())), default=0)
+
+        listed = (self.sites[line.engine] for line in self.lines.values() if line.state == "on")
+        others = sorted((other for other in listed if other.address != site.address), key=heard, reverse=True)
         with anyio.CancelScope() as taken.letting_go:
-            for at in [site, *(other for other in others if other.address != site.address)][:RELEASE_TRIES]:
-                if await self.calls.release(at.address, taken.id, limit) is None:
-                    break
-            else:
+            async with anyio.create_task_group() as calls:
+                over = anyio.Event()
+
+                async def call(at: Site, next_now: anyio.Event) -> None:
+                    if await self.calls.release(at.address, taken.id, self.house.release_within) is None:
+                        over.set()
+                        calls.cancel_scope.cancel()
+                    next_now.set()
+
+                for at in [site, *others[:RELEASE_TRIES - 1]]:
+                    failed = anyio.Event()
+                    calls.start_soon(call, at, failed)
+                    with anyio.move_on_after(patience / (1000 * TENTHS)):
+                        await failed.wait()
+            if not over.is_set():
                 self.log.warning("release_failed", query=taken.id, engine=site.name)
             taken.letting_go = None
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -42,7 +42,7 @@
         self.lines = [Listed(at, kind, 0, 0, 0, "on", 1 + at * 2654435761 % 4294967291)
                       for at, kind in enumerate(kinds)]
         self.desk.roster(self.now, Roster(True, list(self.lines)))
-        self.asked = 0
+        self.asked = self.hold_off = 0
 
     def send(self, query: int, engine: int, cap: int) -> None:
         self.said.append(("send", query))
@@ -50,6 +50,7 @@
 
     def dismiss(self, query: int, hold_off: int) -> None:
         self.said.append(("dismiss", query))
+        self.hold_off = hold_off
 
     def scrap(self, query: int) -> None:
         self.said.append(("scrap", query))
@@ -77,7 +78,8 @@
         tariff = said.get("tariff", 0)
         self.desk.arrive(self.now, Query(
             self.asked, tariff if tariff >= 0 else None, said.get("tenant"), session, said.get("beginning"),
-            prompt, said.get("beginning_length", 0), 400, 50, budget, False, bool(said.get("again")),
+            prompt, said.get("beginning_length", 0), 400, 50, budget, bool(said.get("resent")),
+            bool(said.get("again")),
             beginning_mark=said.get("mark", 0)))
         return self.asked
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,11 +1,13 @@
-"""Many fronts' decisions, the module's own, against readers that read at a fixed rate, first come first, and
-go on with what was given up; writers begin each answer at once. No more of a fleet than a jam of reads takes."""
+"""Many fronts' decisions, the module's own, against readers that read at a fixed rate, first come first,
+and go on with what was given up; writers begin each answer at once. No more of a fleet than a jam of reads
+takes."""
 
 from __future__ import annotations
 
 import heapq
 from collections import Counter, OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from functools import partial
 from random import Random
 
 from runspool.decisions.interface import Ending, HouseTerms, Listed, Outcome, Query, Roster, TenantTerms
@@ -130,7 +132,7 @@
             self.at(self.now + int(self.rng.uniform(8, 14) * SECOND), lambda: self.ask(
                 session, prompt + int(self.rng.uniform(300, 900)), beginning, length, turns - 1, zone))
 
-    def play(self, rates: list[float], zones: tuple[float, float, float], beginnings: int = 200) -> list[float]:
+    def play(self, rates: Sequence[float], zones: Sequence[float], beginnings: int = 200) -> list[float]:
         """New sessions a second, window by window; the part in time of what came in each window."""
         weights = [1 / (1 + at) for at in range(beginnings)]
         for window, rate in enumerate(rates):
@@ -141,8 +143,7 @@
                 zone = self.rng.choices(range(3), zones)[0]
                 prompt = length + int(self.rng.lognormvariate(6, 1))
                 turns = self.rng.choice([1, 2, 3])
-                self.at(at, lambda s=self.set, p=prompt, b=beginning, n=length, t=turns, z=zone: self.ask(
-                    s, p, b, n, t, z))
+                self.at(at, partial(self.ask, self.set, prompt, beginning, length, turns, zone))
         while self.heap and self.now < SECOND + (len(rates) + 4) * WINDOW:
             self.now, _, act = heapq.heappop(self.heap)
             act()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,13 +7,17 @@
 import signal
 import sys
 from pathlib import Path
-from typing import Any
+from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 
+from runspool.engines.connections import Address
+from runspool.engines.endings import Mishap
+from runspool.node.node import Held
 from runspool.sockets.lines import Line, dial
 from tests.platform import (
-    BODY, EVENTS, GOOD, READ, SETTINGS, STREAM, Platform, Request, Script, chunked, post, resets, says,
+    BODY, EVENTS, GOOD, READ, SETTINGS, STREAM, WAIT, Platform, Request, Script, chunked, post, resets, says,
     silent, waits_for, whole,
 )
 
@@ -95,6 +99,33 @@
         await platform.until(lambda: any(one.engine == "w" for one in platform.let_go("q1")))
 
 
+async def test_letting_go_does_not_wait_for_one_cut_off_engine_after_the_other(tmp_path: Path) -> None:
+    names = {"r": "prefill"} | {f"w{at}": "decode" for at in range(9)}
+    async with Platform(tmp_path, names).inside() as running:
+        node = running.node
+        sites, asked, over = {site.name: site for site in node.sites.values()}, [], asyncio.Event()
+
+        async def release(address: Address, request: str, limit: int) -> Mishap | None:
+            asked.append(address)
+            if address != sites["w7"].address:
+                await asyncio.sleep(limit / 10_000)
+                return Mishap.SILENT_AFTER_LAST_BYTE
+            over.set()
+            return None
+
+        # All have been spoken to, that one last: it is the likeliest to be there still.
+        spoken = {site.address: [SimpleNamespace(idle_since=9 - abs(int(site.name[1:]) - 7))]
+                  for site in node.sites.values() if site.name != "r"}
+        node.calls.pool.idle = cast(Any, spoken)
+        node.calls.pool.sweep = lambda: None  # type: ignore[method-assign]
+        node.calls.release = release  # type: ignore[method-assign]
+        held = Held(0, "q1", 0, 0, cast(Any, None), ask=cast(Any, None))
+        node.spawn_release(node._let_go, held, sites["r"])
+        await asyncio.wait_for(over.wait(), WAIT)
+        node.calls.pool.idle = {}
+        assert asked == [sites["r"].address, sites["w7"].address]
+
+
 async def _goes_down(asked: Request) -> None:
     """The read is lost, and nothing answers at its engine any more."""
     asked.down()
@@ -409,7 +440,10 @@
     monkeypatch.setattr("runspool.engines.connections.dial", far)
     monkeypatch.setattr("runspool.engines.exchange.LONGEST_LOOK", 100_000)
     platform = Platform(tmp_path, PAIR)
-    platform.settings = SETTINGS | {"limits": SETTINGS["limits"] | {"dial-timeout-us": 5_000_000}}
+    # Nobody is in a hurry: that connecting takes long is not what this is about.
+    classes = [row | {"aim-us": 5_000_000} for row in SETTINGS["classes"]]
+    limits = SETTINGS["limits"] | {"dial-timeout-us": 5_000_000}
+    platform.settings = SETTINGS | {"limits": limits, "classes": classes}
     async with platform.inside():
         platform.engines["w"].scripts = [given_up]
         assert (await platform.ask(post("q1"))).whole
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -5,7 +5,7 @@
 import io
 import unittest
 
-from runspool.decisions.interface import Effect, Ending, Group, Report
+from runspool.decisions.interface import Effect, Ending, Group, Report, Role
 from runspool.decisions.rules import SECOND, Known
 from runspool.simhost.host import Host
 from runspool.simhost.wire import Malformed
@@ -336,6 +336,44 @@
         other = rules.engines[1 - host.shots[0][1]]
         self.assertLess(rules.lag(other), 2_000)
 
+    def test_a_front_takes_as_many_homes_for_a_beginning_whether_it_has_met_it_or_not(self) -> None:
+        met, homes = FakeHost([READER] * 40 + [WRITER], terms(fronts=200)), []
+        for host in (FakeHost([READER] * 40 + [WRITER], terms(fronts=200)), met, met):
+            host.ask(3_000, beginning=1, beginning_length=2_500, mark=77)
+            query = host.desk.errands[host.asked].query
+            homes.append(len(query.homes) if query else 0)
+        self.assertTrue(all(2 <= count <= 5 for count in homes), homes)
+
+    def test_a_slow_read_is_not_read_again_before_it_is_due(self) -> None:
+        host = FakeHost([READER, READER, WRITER], terms(fronts=200))
+        host.ask(2_000)
+        self.assertGreaterEqual(host.shots[0][2], SECOND - 200)
+
+    def test_a_reader_last_met_long_ago_is_known_by_the_one_read_timed_now(self) -> None:
+        host = FakeHost([READER, READER, WRITER], terms(fronts=200))
+        query = host.ask(500)
+        host.end(query, Ending.OVERDUE, took=20_000)
+        late = host.desk.rules.engines[host.shots[0][1]]
+        self.assertGreater(host.desk.rules.lag(late), 15_000)
+
+    def test_a_front_that_meets_a_reader_now_and_then_knows_a_jam_after_three_reads(self) -> None:
+        host = FakeHost([READER] * 9 + [WRITER], terms(fronts=200))
+        for _ in range(3):
+            host.wait(2 * SECOND)
+            query = host.ask(500)
+            host.end(query, Ending.READ, took=15_000)
+            host.begin(query)
+            host.end(query, Ending.SUCCEEDED, over=True)
+        self.assertGreater(host.desk.rules.lags[Role.READER].time, 3_500)
+
+    def test_in_a_jam_a_later_try_waits_less_than_a_first_and_is_told_to_stay_away(self) -> None:
+        host = FakeHost([READER, WRITER], terms(fronts=200))
+        jam = host.desk.rules.lags[Role.READER]
+        jam.time, jam.heard = 4_000.0, host.now
+        self.assertEqual(host.of(host.ask(500)), ["send"])
+        self.assertEqual(host.of(host.ask(500, session=1, resent=1)), ["dismiss"])
+        self.assertEqual(host.hold_off, SECOND)  # all that may be told
+
     def test_the_reserved_writer_of_another_rack_does_not_draw_states_away(self) -> None:
         host = FakeHost([READER, MIXED, MIXED], terms(fronts=50))
         rules = host.desk.rules
