--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -101,8 +101,7 @@
 
 
 class Fleet:
-    """`part` of all that the readers can read is asked for, window by window, were each text kept wherever
-    it is read: what is read twice comes on top."""
+    """A clock, the readers, as many writers, and the fronts in three zones."""
 
     def __init__(self, fronts: int, readers: int, seed: int) -> None:
         self.now, self.set = SECOND, 0
