Letting a state go asks on until an engine has taken the call, and each call is its own

A second call that lets go shares one field with the first, whose end hides it from the next shot. A shot that only dials stopped the call that had been begun.

At fault: node.py, _let_go(): `others[:RELEASE_TRIES - 1]`, `taken.letting_go = None`; speak(): cancelled at once.

Change: up to 64 engines are asked; calls are kept in a set; they are stopped as the next shot's last byte goes. Where no time is granted for letting go, a second is taken; before, no call went out at all.

--- a/runspool/node/node.py
+++ b/runspool/node/node.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import anyio
 
@@ -17,13 +17,15 @@
 from runspool.service.owed import Owed, Refused, Site
 from runspool.service.quarter import Quarter
 from runspool.service.tape import Tape
-from runspool.units import TENTHS
+from runspool.units import TENTHS, tenths
 from runspool.wire.fields import Misworded
 
 NAMES_KNOWN = 20_000  # texts' names remembered before the one unseen for longest is forgotten
 STREAM_SILENCE_MS = 4_000  # after a stream's last event; its client is to be told before 5 s
 EVENT_BYTES = 65_536  # of one event, and of a read's answer
-RELEASE_TRIES = 6  # engines asked to let go of a state, within half the time there is for it
+RELEASE_TRIES = 6  # engines asked to let go of a state within half the time there is for it
+RELEASE_MS = 1_000  # that time where the settings grant none
+LATEST_TRIES = 64  # and how many are asked in all, while none of them has taken the call
 READ_MAYBE = frozenset({Ending.OVERDUE, Ending.RECALLED, Ending.SEVERED, Ending.ERRORED})
 DESK = "node"
 
@@ -45,7 +47,7 @@
 class Held(Owed):
     ask: Ask
     maybe_read: Site | None = None  # where a read that was lost or given up may have left a state
-    letting_go: anyio.CancelScope | None = None  # of a call that lets go while the query goes on
+    letting_go: set[anyio.CancelScope] = field(default_factory=set)  # of calls that let go of what it holds
 
 
 class Node(Carrying[Held]):
@@ -103,15 +105,18 @@
         return self.quarter
 
     async def speak(self, taken: Held, site: Site, shot: int, sent: int, limit: int, barred: Barred) -> Ended:
-        if taken.letting_go is not None:
+        def out() -> bool:
             # Against letting go of what this shot will read; what is left is seen to when none is out again.
-            taken.letting_go.cancel()
-            taken.letting_go = None
-            taken.maybe_read = taken.maybe_read or site
+            # Only now, as its last byte goes: while no connection comes up, what is held is still let go.
+            for call in taken.letting_go:
+                call.cancel()
+                taken.maybe_read = taken.maybe_read or site
+            return barred()
+
         if site.role is Role.READER:
-            return await self.calls.read(site.address, taken.ask, limit, barred)
+            return await self.calls.read(site.address, taken.ask, limit, out)
         hearing = Hearing(self, taken, shot, sent)
-        return await self.calls.write(site.address, taken.ask, limit, barred, hearing)
+        return await self.calls.write(site.address, taken.ask, limit, out, hearing)
 
     def let_go(self, taken: Held) -> None:
         site = taken.state_at or taken.maybe_read
@@ -134,7 +139,8 @@
     async def _let_go(self, taken: Held, site: Site) -> None:
         """Against a call lost on its way pinning the state: any engine takes it, so after a while without an
         answer another is asked beside, those first that this node has heard from last."""
-        patience = self.house.release_within // (2 * RELEASE_TRIES)
+        within = self.house.release_within or tenths(RELEASE_MS)
+        patience = within // (2 * RELEASE_TRIES)
         idle = self.calls.pool.idle
 
         def heard(other: Site) -> int:
@@ -142,21 +148,22 @@
 
         listed = (self.sites[line.engine] for line in self.lines.values() if line.state == "on")
         others = sorted((other for other in listed if other.address != site.address), key=heard, reverse=True)
-        with anyio.CancelScope() as taken.letting_go:
+        over = anyio.Event()
+        with anyio.CancelScope() as scope:
+            taken.letting_go.add(scope)
             async with anyio.create_task_group() as calls:
-                over = anyio.Event()
 
                 async def call(at: Site, next_now: anyio.Event) -> None:
-                    if await self.calls.release(at.address, taken.id, self.house.release_within) is None:
+                    if await self.calls.release(at.address, taken.id, within) is None:
                         over.set()
                         calls.cancel_scope.cancel()
                     next_now.set()
 
-                for at in [site, *others[:RELEASE_TRIES - 1]]:
+                for at in [site, *others[:LATEST_TRIES - 1]]:
                     failed = anyio.Event()
                     calls.start_soon(call, at, failed)
                     with anyio.move_on_after(patience / (1000 * TENTHS)):
                         await failed.wait()
-            if not over.is_set():
-                self.log.warning("release_failed", query=taken.id, engine=site.name)
-            taken.letting_go = None
+        taken.letting_go.discard(scope)
+        if not over.is_set() and not scope.cancel_called:
+            self.log.warning("release_failed", query=taken.id, engine=site.name)
--- a/tests/test_rare.py
+++ b/tests/test_rare.py
@@ -7,12 +7,17 @@
 import copy
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
+from runspool.decisions.interface import Ending
+from runspool.engines.connections import Address
+from runspool.engines.endings import Mishap
+from runspool.engines.exchange import Barred, Ended
+from runspool.node.asks import Ask
 from runspool.node.intake import Intake
-from runspool.node.node import Node
+from runspool.node.node import Held, Node
 from runspool.node.running import Running
 from runspool.sockets.lines import Line, dial
 from tests.platform import (
@@ -114,3 +119,56 @@
         await platform.until(lambda: len(platform.let_go("q1")) == 1)
         # 300 ms are granted for the state, and each connection is waited for for 250.
         assert 1 <= running.node.counts["shot_unreachable"] <= 2
+
+
+async def test_a_state_is_let_go_at_the_first_engine_that_can_be_reached(tmp_path: Path) -> None:
+    """Cut off from all but the last of twelve, none of which it has spoken to before."""
+    names = {"r": "prefill"} | {f"w{at}": "decode" for at in range(12)}
+    platform = Platform(tmp_path, names)
+    async with platform.inside() as running:
+        node = running.node
+        sites, over = {site.name: site for site in node.sites.values()}, asyncio.Event()
+        asked: list[Address] = []
+
+        async def release(address: Address, request: str, limit: int) -> Mishap | None:
+            asked.append(address)
+            if len(asked) <= 12:
+                return Mishap.REFUSED
+            over.set()
+            return None
+
+        node.calls.release = release  # type: ignore[method-assign]
+        held = Held(0, "q1", 0, 0, cast(Any, None), ask=cast(Any, None))
+        node.spawn_release(node._let_go, held, sites["r"])
+        await asyncio.wait_for(over.wait(), WAIT)
+        assert len(set(asked)) == 13
+
+
+async def test_each_call_that_lets_go_is_stopped_by_the_next_shot(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        node, begun = running.node, 0
+
+        async def release(address: Address, request: str, limit: int) -> Mishap | None:
+            nonlocal begun
+            begun += 1
+            await asyncio.sleep(WAIT)
+            return None
+
+        async def read(address: Address, ask: Ask, limit: int, out: Barred) -> Ended:
+            assert begun == 2 and node.releasing == 2  # while it connects, they go on
+            out()
+            return Ended(Ending.READ)
+
+        node.calls.release = release  # type: ignore[method-assign]
+        node.calls.read = read  # type: ignore[method-assign, assignment]
+        site = next(site for site in node.sites.values() if site.name == "r")
+        held = Held(0, "q1", 0, 0, cast(Any, None), ask=cast(Any, None))
+        for _ in range(2):
+            node.spawn_release(node._let_go, held, site)
+        async with asyncio.timeout(WAIT):
+            while begun < 2:
+                await asyncio.sleep(0.001)
+            await node.speak(held, site, 1, 0, 0, lambda: False)
+            while node.releasing:
+                await asyncio.sleep(0.001)
