A stop takes no stream that the kill would cut, and stands while connections still come

Ruled out: queries still in line, releases (0 in each log line).

At fault: running.py, _stop(): what came was taken until 0.8 s before the last moment whether or not a stream can be moved. By reading, beside it: with hard limits of 0.6 s that moment is at once, while new connections come for 0.4 s; a hard limit beyond the 3 s that the kill waits was kept waiting past it; a house without hard limits stopped at once.

Change: where streams cannot be moved nothing is taken after 0.5 s, and never for less than that; what still waits 0.5 s before the kill is answered and let go.

Tests fail without it.

--- a/runspool/node/running.py
+++ b/runspool/node/running.py
@@ -29,6 +29,7 @@
 KILL_MARGIN = 5_000  # before that, by when nothing may be held any more
 LAST_TAKEN = 8_000  # and before that again, so that what is taken last can still be answered
 LIST_BYTES = 16 << 20
+STILL_COME = 5_000  # after SIGTERM, for so long at least: new connections come for up to 400 ms
 TURNED, TURNED_TIME = 8, 0.5  # connections turned away that are listened to at once, and seconds for each
 LONGEST_STOP = 60.0  # seconds that running streams may take to their end
 
@@ -115,9 +116,13 @@
         node = self.node
         self.log.info("node_stopping", node=self.posting.name, queries=len(node.queries))
         at = now()
-        by = at + min(LONGEST_COUNTED, max(self.posting.granted.hard_limits)) + KILL_AFTER - KILL_MARGIN
+        longest = max(self.posting.granted.hard_limits) or LONGEST_COUNTED
+        by = at + min(LONGEST_COUNTED, longest) + KILL_AFTER - KILL_MARGIN
         node.leave(by)
-        await anyio.sleep((by - LAST_TAKEN - at) / 10_000)
+        # Against short hard limits ending the process while new connections still come; and, where streams
+        # cannot be moved, against taking any that would still run when the kill comes.
+        last = by - LAST_TAKEN - at if node.house.resumes else STILL_COME
+        await anyio.sleep(max(STILL_COME, last) / 10_000)
         node.closing = True
         for intake, scope in list(self.clients.items()):
             if intake.idle_since:
@@ -150,6 +155,8 @@
                 del self.clients[intake]
                 line.drop()
 
+                # Against hard limits beyond the kill: what is held is answered and let go of before it.
+                node.scrap_all(begun=False)
     async def _turn_away(self, line: Line) -> None:
         """What it sends is swallowed briefly, or a reset would eat the answer; a few at a time, as each takes
         a descriptor of the reserve."""
--- a/runspool/service/carrying.py
+++ b/runspool/service/carrying.py
@@ -121,10 +121,11 @@
         """The index of a text by its kind and name, None where it has no name."""
         return None if name is None else self.text_door.index(kind + name, at)
 
-    def scrap_all(self) -> None:
-        """The stop's last resort: whoever still waits gets the answer that promises nothing."""
+    def scrap_all(self, begun: bool = True) -> None:
+        """The stop's last resort: whoever still waits gets the answer that promises nothing; with `begun`
+        those whose streams have begun too."""
         for taken in list(self.queries.values()):
-            if self._settle(taken, Final(Kind.SCRAPPED, "stopped",
+            if (begun or not taken.begun) and self._settle(taken, Final(Kind.SCRAPPED, "stopped",
                                          "the front stopped; it may or may not have run")):
                 self._leave(taken)
 
--- a/tests/test_rare.py
+++ b/tests/test_rare.py
@@ -15,6 +15,7 @@
 from runspool.engines.connections import Address
 from runspool.engines.endings import Mishap
 from runspool.engines.exchange import Barred, Ended
+from runspool.node import running as node_running
 from runspool.node.asks import Ask
 from runspool.node.intake import Intake
 from runspool.node.node import Held, Node
@@ -28,6 +29,7 @@
     Platform,
     chunked,
     post,
+    silent,
 )
 
 pytestmark = pytest.mark.anyio
@@ -73,6 +75,60 @@
             await asyncio.sleep(0)
 
 
+# Stop.
+
+
+async def test_at_a_stop_with_short_hard_limits_what_still_comes_is_served(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    # So long that a slow machine cannot be late for it; where only hard limits count it is no time at all.
+    monkeypatch.setattr(node_running, "STILL_COME", 10 * 10_000, raising=False)
+    platform = Platform(tmp_path, PAIR)
+    platform.settings = hard_limit(600)
+    async with platform.inside() as running:
+        client, _ = await kept(platform, running)
+        running.stop()
+        await asyncio.sleep(0)
+        # Before the kill there is time enough for it.
+        for one in (client, await platform.client()):
+            one.send(post(f"s{id(one)}", req_deadline="600m"))
+            assert (await one.answer()).whole
+            assert not running.node.closing
+
+
+@pytest.mark.parametrize("moved", [True, False])
+async def test_a_stop_takes_late_requests_only_where_streams_can_be_moved(
+        moved: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """What comes 0.7 s after SIGTERM and still streams at the kill is lost, unless it can be moved."""
+    monkeypatch.setattr(node_running, "STILL_COME", 0)
+    monkeypatch.setattr(node_running, "LAST_TAKEN", -60 * 10_000)  # as if there were a minute to the last
+    platform = Platform(tmp_path, PAIR)
+    platform.settings = changed(lambda said: said["family-info"].update(resume=moved))
+    async with platform.inside() as running:
+        running.stop()
+        async with asyncio.timeout(WAIT):
+            while not running.node.leaves_by:
+                await asyncio.sleep(0.001)
+        for _ in range(20):  # rounds of the loop, in which nothing but the stop has anything to do
+            await asyncio.sleep(0)
+        assert running.node.closing is not moved
+
+
+async def test_hard_limits_beyond_the_kill_are_answered_and_let_go_before_it(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(node_running, "LONGEST_COUNTED", 1_000)  # a stop of 0.3 s in place of 3.2
+    platform = Platform(tmp_path, PAIR)
+    platform.settings = hard_limit(60_000)
+    platform.engines["r"].scripts = [silent]
+    async with platform.inside() as running:
+        client = await platform.client()
+        client.send(post("q1", req_deadline="60000m"))
+        await platform.until(lambda: len(platform.shots("q1")) == 1)
+        running.stop()
+        assert (await client.answer()).status == 500
+        await platform.until(lambda: len(platform.let_go("q1")) == 1)
+        await asyncio.wait_for(platform.run, WAIT)
+
+
 # Clients that go. Nothing is sent on for them, and nothing of theirs stays held.
 
 
