A client that sends much ahead and goes is seen to have gone

Seen by a test: a client that sends 400 KB behind its request and closes is never noticed; its query is read and answered for nobody, which the operators forbid from 0.3 s on.

At fault: lines.py, data_received(): past 64 KiB reading is paused, and the end of the connection lies behind what is not read.

Change: while a query is open, what comes past the bytes kept is read and thrown away, up to 8 MiB, past which the client counts as gone. Its answer says that the connection ends. Memory stays bounded as before.

With it tests of a client that goes while read, in line, between reader and writer and while dialling; those four were sound.

--- a/runspool/service/talk.py
+++ b/runspool/service/talk.py
@@ -58,7 +58,7 @@
     @property
     def last(self) -> bool:
         """True where the answer under way says that the connection ends with it."""
-        return self.closing or not self.keeps_alive
+        return self.closing or not self.keeps_alive or self.line.shed > 0
 
     @abstractmethod
     async def route(self, request: Request, came: int) -> None:
@@ -169,7 +169,7 @@
         if sending is not None:
             sending.watch(lambda: front.left(taken))
         # What it sends ahead stays on the line for the next cycle, up to what a line keeps.
-        self.line.lost = lambda: front.left(taken)
+        self.line.watch(lambda: front.left(taken))
         try:
             if self.line.ended:
                 front.left(taken)
--- a/runspool/sockets/lines.py
+++ b/runspool/sockets/lines.py
@@ -18,6 +18,7 @@
 import anyio
 
 KEPT = 65_536  # bytes kept for a reader that does not ask; past them the peer is made to wait
+SHED = 8 << 20  # bytes thrown away of a peer that is watched, after which it counts as gone
 
 
 class Gone(ConnectionError):
@@ -29,7 +30,8 @@
 
     def __init__(self) -> None:
         self.transport: asyncio.Transport
-        self.lost: Callable[[], None] | None = None  # called once, when the peer has gone
+        self.lost: Callable[[], None] | None = None  # called once, when the peer has gone; see watch()
+        self.shed = 0  # bytes thrown away: what comes after those kept can no longer be read
         self._come: list[bytes] = []
         self._size = 0
         self._fault: BaseException | None = None
@@ -48,11 +50,27 @@
         """True once the peer has closed or been lost, whether or not all that it sent was received."""
         return self._over
 
+    def watch(self, lost: Callable[[], None]) -> None:
+        """Has `lost` called once the peer has gone, until it is set to None again.
+
+        Against a peer that sends much ahead and goes: were it made to wait, the end behind that would never
+        be seen. So what it sends past the bytes that are kept is read all the same, and thrown away.
+        """
+        self.lost = lost
+        if self._held and not self._closed:
+            self._held = False
+            self.transport.resume_reading()
+
+    @property
+    def waiting(self) -> bool:
+        """True where something has come that was not received yet."""
+        return bool(self._come)
+
     async def receive(self) -> bytes:
         """What has come since, at least a byte. Raises Gone at the end, after all that came before it."""
         while not self._come:
-            if self._over:
-                raise Gone(str(self._fault or "closed"))
+            if self._over or self.shed:
+                raise Gone(str(self._fault or ("sent too much ahead" if self.shed else "closed")))
             self._reader = asyncio.get_running_loop().create_future()
             try:
                 await self._reader
@@ -130,9 +148,14 @@
         self.transport.set_write_buffer_limits(0)
 
     def data_received(self, data: bytes) -> None:
+        if self.shed or (self.lost is not None and self._size > KEPT):
+            self.shed += len(data)
+            if self.shed > SHED:
+                self._end()
+            return
         self._come.append(data)
         self._size += len(data)
-        if self._size > KEPT and not self._held:
+        if self._size > KEPT and not self._held and self.lost is None:
             self._held = True
             self.transport.pause_reading()
         _wake(self._reader)
--- a/tests/test_rare.py
+++ b/tests/test_rare.py
@@ -23,10 +23,12 @@
 from runspool.sockets.lines import Line, dial
 from tests.platform import (
     EVENTS,
+    READ,
     SETTINGS,
     WAIT,
     Client,
     Platform,
+    Request,
     chunked,
     post,
     silent,
@@ -155,6 +157,114 @@
             await asyncio.sleep(0.001)
 
 
+@pytest.mark.parametrize("ahead", [0, 400_000])
+async def test_a_client_that_goes_while_its_query_is_read_is_let_go(ahead: int, tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        platform.engines["r"].scripts = [silent]
+        client = await platform.client()
+        client.send(post("q1"))
+        await platform.until(lambda: len(platform.shots("q1")) == 1)
+        # More than the node keeps and its kernel holds: the end behind it would never come through.
+        client.send(b"x" * ahead)
+        if ahead:
+            await asyncio.wait_for(client.writer.drain(), WAIT)
+        client.writer.close()
+        await platform.until(lambda: len(platform.let_go("q1")) == 1)
+        await settled(platform, running.node, "q1", 1)
+
+
+async def test_a_client_that_goes_while_it_waits_in_line_is_not_sent_on(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        platform.tell(r="leaving")
+        await until_listed(running.node, "draining", "r")
+        client = await platform.client()
+        client.send(post("q1"))
+        async with asyncio.timeout(WAIT):
+            while not running.node.queries:
+                await asyncio.sleep(0.001)
+        client.close()
+        await settled(platform, running.node, "q1", 0)
+
+
+async def test_a_client_that_goes_between_reader_and_writer_is_let_go(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    platform.settings = changed(lambda said: said["family-info"].update({"release-within-us": 60_000_000}))
+    async with platform.inside() as running:
+        platform.tell(w="leaving")
+        await until_listed(running.node, "draining", "w")
+        platform.tell(w="active")
+        go = asyncio.Event()
+
+        async def reads(asked: Request) -> None:
+            await go.wait()
+            await asked.say(READ)
+
+        await until_listed(running.node, "on", "w")
+        platform.engines["r"].scripts = [reads]
+        client = await platform.client()
+        client.send(post("q1"))
+        await platform.until(lambda: len(platform.shots("q1")) == 1)
+        platform.tell(w="leaving")
+        await until_listed(running.node, "draining", "w")
+        go.set()
+        async with asyncio.timeout(WAIT):
+            while not any(taken.state_at for taken in running.node.queries.values()):
+                await asyncio.sleep(0.001)
+        client.close()
+        await platform.until(lambda: len(platform.let_go("q1")) == 1)
+        await settled(platform, running.node, "q1", 1)
+
+
+async def test_a_client_that_goes_while_its_shot_is_dialling_is_not_sent_on(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    dialling, go = asyncio.Event(), asyncio.Event()
+
+    async def dials(address: tuple[str, int], source: str | None) -> Line:
+        if not go.is_set():
+            dialling.set()
+            await go.wait()
+        return await dial(address, source)
+
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        monkeypatch.setattr("runspool.engines.connections.dial", dials)
+        client = await platform.client()
+        client.send(post("q1"))
+        await asyncio.wait_for(dialling.wait(), WAIT)
+        client.close()
+        async with asyncio.timeout(WAIT):
+            while any(taken.final is None for taken in running.node.queries.values()):
+                await asyncio.sleep(0.001)
+        go.set()
+        await settled(platform, running.node, "q1", 0)
+
+
+async def test_who_sends_much_ahead_and_stays_is_answered(tmp_path: Path) -> None:
+    go = asyncio.Event()
+
+    async def reads(asked: Request) -> None:
+        await go.wait()
+        await asked.say(READ)
+
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        platform.engines["r"].scripts = [reads]
+        client = await platform.client()
+        client.send(post("q1"))
+        await platform.until(lambda: len(platform.shots("q1")) == 1)
+        client.send(b"x" * 400_000)
+        await asyncio.wait_for(client.writer.drain(), WAIT)
+        intake, = running.clients
+        async with asyncio.timeout(WAIT):
+            while not intake.line.shed:
+                await asyncio.sleep(0.001)
+        go.set()
+        answer = await client.answer()
+        assert answer.whole and answer.headers["connection"] == "close"
+
+
 BAD = {"no json": chunked(EVENTS[1] + b"data: {oops\n\n"), "deep": chunked(EVENTS[1] + b'data: {"choices":'
        + b"[" * 20_000 + b"\n\n"), "bad size": chunked(EVENTS[1]) + b"zz\r\n"}
 
