A request that comes as its idle connection is closed is served

Seen by a test: a request received in the moment in which its connection gives way to another, or a stop ends idle connections, is read, taken, and lost: the client's whole task is cancelled, at whichever await it stands by then.

At fault: running.py, _make_room() and _stop(): `scope.cancel()` around the task, on the word of `idle_since`, which is set while half a head, or a whole request not looked at, lies in the line.

Change: only the wait for a request that has not begun is ended, after a look at the kernel's buffer; what came all the same is served. A stop looks again until nobody is left. Where connections must give way and none is idle, one with half a head does.

Tests fail without it.

--- a/runspool/node/running.py
+++ b/runspool/node/running.py
@@ -50,7 +50,7 @@
                         read_answer_bytes=LIST_BYTES)
         self.catalog = Catalog(speech, posting.discovery, self.node.following, now,
                                self.node.engines_changed, self.node.quarter.list_lost)
-        self.clients: dict[Intake, anyio.CancelScope] = {}
+        self.clients: set[Intake] = set()
         self.busy = 0
         self.turned = 0
         self.stopping = anyio.Event()
@@ -124,9 +124,6 @@
         last = by - LAST_TAKEN - at if node.house.resumes else STILL_COME
         await anyio.sleep(max(STILL_COME, last) / 10_000)
         node.closing = True
-        for intake, scope in list(self.clients.items()):
-            if intake.idle_since:
-                scope.cancel()
         with anyio.move_on_after(LONGEST_STOP):
             with anyio.move_on_after((by - now()) / 10_000) as in_time:
                 await self._nothing_held()
@@ -137,7 +134,12 @@
                 await self._nothing_held()
 
     async def _nothing_held(self) -> None:
-        while self.busy or self.node.queries or self.node.releasing:
+        while True:
+            # Those whose request has come in this moment are served first, and leave by themselves.
+            for intake in list(self.clients):
+                intake.end_wait()
+            if not (self.busy or self.clients or self.node.queries or self.node.releasing):
+                return
             await anyio.sleep(0.02)
 
     async def _client(self, line: Line) -> None:
@@ -145,15 +147,14 @@
             await self._turn_away(line)
             return
         intake = Intake(self.node, line, self._working)
-        with anyio.CancelScope() as scope:
-            self.clients[intake] = scope
-            try:
-                await intake.run()
-            except Exception as fault:  # one client's trouble stays its own
-                self.log.exception("client_failed", fault=repr(fault))
-            finally:
-                del self.clients[intake]
-                line.drop()
+        self.clients.add(intake)
+        try:
+            await intake.run()
+        except Exception as fault:  # one client's trouble stays its own
+            self.log.exception("client_failed", fault=repr(fault))
+        finally:
+            self.clients.discard(intake)
+            line.drop()
 
                 # Against hard limits beyond the kill: what is held is answered and let go of before it.
                 node.scrap_all(begun=False)
@@ -170,13 +171,11 @@
         line.drop()
 
     def _make_room(self) -> bool:
-        """Against silent connections keeping out those that ask: the one idle for longest goes."""
-        idle = min((intake for intake in self.clients if intake.idle_since),
-                   key=lambda intake: (intake.served, intake.idle_since), default=None)
-        if idle is None:
-            return False
-        self.clients[idle].cancel()
-        return True
+        """Against silent connections keeping out those that ask: the one idle for longest goes, or one that
+        has sent half a head."""
+        idle = sorted((intake for intake in self.clients if intake.idle_since),
+                      key=lambda intake: (intake.served, intake.idle_since))
+        return any(intake.end_wait() for intake in idle) or any(intake.end_wait(True) for intake in idle)
 
     def _working(self, change: int) -> None:
         self.busy += change
--- a/runspool/service/talk.py
+++ b/runspool/service/talk.py
@@ -49,6 +49,8 @@
         self.requests = Requests(bounds.head_bytes, bounds.query_bytes, self.ONCE_ONLY)
         self.write_time = bounds.answer_write_ms / 1000
         self.keeps_alive = True
+        self._wait: anyio.CancelScope | None = None  # for the next request's head
+        self._begun = False  # some of that head has come
 
     @property
     @abstractmethod
@@ -72,6 +74,18 @@
         """Milliseconds that the next request may take to begin."""
         return self.bounds.idle_ms
 
+    def end_wait(self, begun: bool = False) -> bool:
+        """Ends the wait for a next request; False where none is waited for, or something of it has come, to
+        this process or to its kernel. With `begun` one whose head has begun is refused too.
+
+        Not by cancelling the client's task: a request that came just then was read and lost with it.
+        """
+        wait = self._wait
+        if wait is None or wait.cancel_called or (self._begun and not begun) or self.line.spoke():
+            return False
+        wait.cancel()
+        return True
+
     async def run(self) -> None:
         """Serves until the client goes, asks to close, sends what cannot be taken, or the front stops."""
         try:
@@ -106,22 +120,27 @@
         if ready and ready[0].head_done:
             return ready[0]
         self.requests.put_off()
-        started = bool(ready)
-        wait = self.bounds.head_ms if started else self.head_wait()
+        self._begun = bool(ready)
+        wait = self.bounds.head_ms if self._begun else self.head_wait()
         with anyio.CancelScope(deadline=self._in(wait)) as scope:
-            while not (ready and ready[0].head_done):
-                try:
-                    self.requests.feed(await self.line.receive())
-                except Gone:
-                    if started:
-                        raise BadRequest(400, "malformed", "the head ends early") from None
-                    return None
-                if not started:
-                    started, scope.deadline = True, self._in(self.bounds.head_ms)
+            self._wait = scope
+            try:
+                while not (ready and ready[0].head_done):
+                    try:
+                        self.requests.feed(await self.line.receive())
+                    except Gone:
+                        if self._begun:
+                            raise BadRequest(400, "malformed", "the head ends early") from None
+                        return None
+                    if not self._begun:
+                        self._begun, scope.deadline = True, self._in(self.bounds.head_ms)
+            finally:
+                self._wait = None
         if scope.cancelled_caught:
-            if not started:
-                return None
-            raise BadRequest(408, "head_time", "the request's head took too long")
+            if self._begun:
+                raise BadRequest(408, "head_time", "the request's head took too long")
+            # Against a request that came in the moment the wait ended: it has been received, so it is taken.
+            return await self._head() if self.line.waiting else None
         return ready[0]
 
     def _in(self, wait_ms: float) -> float:
--- a/tests/test_rare.py
+++ b/tests/test_rare.py
@@ -115,6 +115,47 @@
         assert running.node.closing is not moved
 
 
+async def test_a_request_that_comes_as_its_connection_gives_way_is_served(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        client, intake = await kept(platform, running)
+        received, gave_way = intake.line.data_received, []
+
+        def comes(data: bytes) -> None:
+            received(data)  # the connection's task is woken, and has not run
+            gave_way.append(running._make_room())
+
+        intake.line.data_received = comes  # type: ignore[method-assign]
+        client.send(post("q1"))
+        assert (await client.answer()).whole
+        assert gave_way == [False]
+
+
+async def test_a_request_that_only_the_kernel_has_is_served_by_its_connection(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        client, _ = await kept(platform, running)
+        client.send(post("q1"))  # to the kernel, at once
+        assert not running._make_room()  # no loop's round since: nobody here has read it
+        assert (await client.answer()).whole
+
+
+async def test_half_a_head_keeps_its_connection_from_a_stop_and_not_from_who_asks(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        client, intake = await kept(platform, running)
+        client.send(post("q1")[:50])
+        await until_begun(intake)
+        assert not intake.end_wait()
+        client.send(post("q1")[50:])
+        assert (await client.answer()).whole
+        await until_idle(intake)
+        client.send(post("q2")[:50])
+        await until_begun(intake)
+        assert running._make_room()
+        assert (await client.answer()).status == 408
+
+
 async def test_hard_limits_beyond_the_kill_are_answered_and_let_go_before_it(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(node_running, "LONGEST_COUNTED", 1_000)  # a stop of 0.3 s in place of 3.2
