No fault in a standing task, a release or deep JSON ends the node

Seen by tests: a list whose JSON is nested a thousand deep ends the node (RecursionError is none of the decoder's errors); so does any exception in the timers, the vigil, the list's news or after a shot's end, as all share one task group.

At fault: members.py, read_list() and its like in asks, events, calls, posting and the house's codecs: `except msgspec.DecodeError`; running.py, run(): `tasks.start_soon(work)`; carrying.py, _spawn(): likewise.

Change: one tuple of what reading JSON raises; standing tasks begin again after 20 ms, logged as task_failed; a fault around a query ends that query.

--- a/runspool/node/asks.py
+++ b/runspool/node/asks.py
@@ -64,7 +64,7 @@
         raise Misworded("Req-Owner", f"{_short(owner)} is not known here")
     try:
         msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+    except fields.UNREADABLE as fault:
         raise Misworded("body", f"no JSON object ({fault})") from None
     said = _extras(headers.get("req-extra", ""))
     largest = max((kind.memory for kind in granted.terms.kinds), default=0) or 10 ** 9
--- a/runspool/node/calls.py
+++ b/runspool/node/calls.py
@@ -13,6 +13,7 @@
 from runspool.node.asks import Ask
 from runspool.node.events import Events, Spoilt
 from runspool.units import TENTHS
+from runspool.wire.fields import UNREADABLE
 
 READ_DONE, WRITING, LET_GO = 202, 200, 204
 HOST = "origin.svc"
@@ -55,7 +56,7 @@
             return Ended(ENDINGS[stop.mishap], stop.mishap, stop.detail)
         try:
             kept = _kept.decode(body).cached_tokens
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except UNREADABLE:
             kept = 0  # the status has said that it was read; what was found kept is only good to know
         return Ended(Ending.READ, kept=max(0, kept))
 
--- a/runspool/node/events.py
+++ b/runspool/node/events.py
@@ -9,6 +9,11 @@
 
 
 class Spoilt(Exception):
+from runspool.wire.fields import UNREADABLE
+
+
+ENDS = re.compile(rb"\n\r?\n|\r\r\n?")  # a line's end and an empty line, whichever of the three ends it has
+
     """Bytes that cannot belong to a good stream."""
 
 
@@ -77,7 +82,7 @@
             return
         try:
             said = _events.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+        except UNREADABLE as fault:
             raise Spoilt(f"an event that does not read: {fault}") from None
         if said.usage is not None:
             self.read, self.made = said.usage.prompt_tokens, said.usage.completion_tokens
--- a/runspool/node/members.py
+++ b/runspool/node/members.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from runspool.wire.fields import UNREADABLE
 from runspool.wire.listing import Entry, News, address_of
 
 STATES = {"active": "on", "leaving": "draining", "left": "gone"}
@@ -42,7 +43,7 @@
     """
     try:
         told = _told.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+    except UNREADABLE as fault:
         raise BadList(str(fault)) from None
     if told.index < 0:
         raise BadList(f"index: {told.index} is below 0")
@@ -50,7 +51,7 @@
     for at, line in enumerate(told.endpoints):
         try:
             entries.append(_entry(_line.decode(line)))
-        except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as fault:
+        except (*UNREADABLE, ValueError) as fault:
             faults.append(f"endpoints[{at}]: {fault}")
     # Against a list of which nothing could be read passing for one that says every engine is gone.
     if told.snapshot and faults:
--- a/runspool/node/posting.py
+++ b/runspool/node/posting.py
@@ -12,6 +12,7 @@
 from runspool.engines.connections import Address
 from runspool.front.granted import Granted, Part, Unfit
 from runspool.node.members import BadList, read_list
+from runspool.wire.fields import UNREADABLE
 from runspool.wire.listing import News, address_of
 
 FILE_BYTES = 32 << 20
@@ -64,7 +65,7 @@
             known=known,
             granted=_granted(said["settings"]),
         )
-    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+    except UNREADABLE as fault:
         raise BadPosting(f"{file}: no JSON: {fault}") from None
     except BadList as fault:
         raise BadPosting(f"known: {fault}") from None
--- a/runspool/node/running.py
+++ b/runspool/node/running.py
@@ -5,7 +5,7 @@
 import gc
 import resource
 import signal
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import suppress
 
 import anyio
@@ -22,6 +22,7 @@
 from runspool.wire.requests import head
 
 SWEEP = 0.5  # seconds between looks for idle connections
+AGAIN = 0.02  # seconds before a standing task that failed begins again
 RESERVE = 28  # descriptors for the list, the listener, the loop and what the interpreter opens
 CLIENTS_PART = 0.45  # of the rest; requests take a third of all at most, silent clients may be dropped
 LONGEST_COUNTED = 30_000  # tenths of a millisecond: a hard limit beyond it puts off the kill no further
@@ -72,7 +73,7 @@
                 node.tasks = tasks
                 self.port = listener.extra(SocketAttribute.local_port)
                 for work in (node.timers.run, node.calls.vigil.run, self._sweep, self.catalog.follow):
-                    tasks.start_soon(work)
+                    tasks.start_soon(self._standing, work)
                 if signals is not None:
                     tasks.start_soon(self._obey, signals)
                 for each in listener.listeners:
@@ -94,6 +95,15 @@
 
     async def _obey(self, signals: AsyncIterator[signal.Signals]) -> None:
         async for number in signals:
+    async def _standing(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Against one fault in work that never ends, or in what it rings for, ending the node."""
+        while True:
+            try:
+                return await work()
+            except Exception as fault:
+                self.log.exception("task_failed", work=work.__qualname__, fault=repr(fault))
+                await anyio.sleep(AGAIN)
+
             if number == signal.SIGHUP:
                 self.posted_again()
             else:
--- a/runspool/service/carrying.py
+++ b/runspool/service/carrying.py
@@ -183,8 +183,11 @@
                     self.log.exception("shot_failed", query=taken.id, fault=repr(fault))
                     ended = Ended(ENDINGS[Mishap.GARBLED], Mishap.GARBLED, repr(fault))
             taken.scope = None
-        self._ended(taken, site, shot, sent, ended)
-        self.shot_over(taken, site, shot, ended)
+        try:
+            self._ended(taken, site, shot, sent, ended)
+            self.shot_over(taken, site, shot, ended)
+        except Exception as fault:
+            self._failed(self.desk_of(taken), taken.index, fault)
 
     def _barred(self, site: Site) -> bool:
         """Whether the list has taken an engine out since it was picked: a connection may take longer than a
@@ -255,12 +258,16 @@
         try:
             news(quarter, *said)
         except Exception as fault:
-            taken = self.queries.get(index)
-            self.log.exception("decisions_failed", query=taken and taken.id, fault=repr(fault))
-            if taken is not None:
-                self._settle(taken, Final(Kind.SCRAPPED, "scrapped", "nothing is promised"))
-                taken.call_back()
-                self.release(index)
+            self._failed(quarter, index, fault)
+
+    def _failed(self, quarter: Quarter | None, index: int, fault: Exception) -> None:
+        taken = self.queries.get(index)
+        self.log.exception("decisions_failed", query=taken and taken.id, fault=repr(fault))
+        if taken is not None:
+            self._settle(taken, Final(Kind.SCRAPPED, "scrapped", "nothing is promised"))
+            taken.call_back()
+            self.release(index)
+        if quarter is not None:
             quarter.drop(index)
 
     def _ring(self, token: str) -> None:
@@ -291,7 +298,14 @@
 
     def _spawn(self, work: Callable[..., Coroutine[Any, Any, None]], *args: Any) -> None:
         assert self.tasks is not None, "a front acts only while it runs"
-        self.tasks.start_soon(work, *args)
+        self.tasks.start_soon(self._alone, work, *args)
+
+    async def _alone(self, work: Callable[..., Coroutine[Any, Any, None]], *args: Any) -> None:
+        """Against one query's fault, whatever raises it, ending the front and with it all others."""
+        try:
+            await work(*args)
+        except Exception as fault:
+            self.log.exception("task_failed", work=work.__qualname__, fault=repr(fault))
 
     def _listed(self, entry: Entry) -> Listed | None:
         kind, address = self.kinds.get(entry.kind), address_of(entry.address)
--- a/runspool/wire/completions.py
+++ b/runspool/wire/completions.py
@@ -15,7 +15,7 @@
 from runspool.terms.checked import TariffPart, Terms
 from runspool.units import TENTHS, tenths
 from runspool.wire import fields
-from runspool.wire.fields import TOKEN_BYTES, Misworded
+from runspool.wire.fields import TOKEN_BYTES, UNREADABLE, Misworded
 
 DEFAULT_OUT = 256
 DONE = b"data: [DONE]\n\n"
@@ -47,7 +47,7 @@
     """A checked wish from lower-case headers and a body; raises Misworded at the first thing wrong."""
     try:
         fields: dict[str, msgspec.Raw] = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
-    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+    except UNREADABLE as fault:
         raise Misworded("body", f"not a JSON object ({fault})") from None
     house = terms.house
     tariff = headers.get("runspool-tariff") or terms.front.default_tariff
@@ -114,7 +114,7 @@
         return absent
     try:
         found: Any = msgspec.json.decode(raw, type=kind | None)
-    except msgspec.DecodeError as fault:
+    except UNREADABLE as fault:
         raise Misworded(name, str(fault)) from None
     return absent if found is None else found
 
@@ -128,7 +128,7 @@
         return max(1, (len(text) - 2) // TOKEN_BYTES)
     try:
         return max(1, len(msgspec.json.decode(text, type=list[int])))
-    except msgspec.DecodeError:
+    except UNREADABLE:
         raise Misworded("prompt", "must be one text or one list of token numbers") from None
 
 
--- a/runspool/wire/engine.py
+++ b/runspool/wire/engine.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from runspool.decisions.interface import Report
+from runspool.wire.fields import UNREADABLE
 
 ASKS_REMOTE_WRITER = msgspec.Raw(msgspec.json.encode({
     "do_remote_decode": True, "do_remote_prefill": False, "remote_engine_id": None, "remote_block_ids": None,
@@ -91,7 +92,7 @@
     """Raises Garbled where the bytes are no answer."""
     try:
         return _answers.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+    except UNREADABLE as fault:
         raise Garbled(str(fault)) from None
 
 
@@ -110,7 +111,7 @@
         return None
     try:
         named = _reports.decode(header[4:].strip().encode())
-    except msgspec.DecodeError:
+    except UNREADABLE:
         return None
     figures = named.get("named_metrics", {})
     return Report(
--- a/runspool/wire/fields.py
+++ b/runspool/wire/fields.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import msgspec
+
+# What reading JSON raises. Nested a thousand deep it is a RecursionError, which is none of the decoder's own.
+UNREADABLE = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 MOST_NAME = 256  # bytes of a session's, beginning's, mark's or ticket's name
 TOKEN_BYTES = 4  # of text, where the client does not count its own tokens
 
--- a/runspool/wire/listing.py
+++ b/runspool/wire/listing.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from runspool.wire.fields import UNREADABLE
+
 
 class Entry(msgspec.Struct, frozen=True):
     """One engine as the list names it. `started_unix_ms` 0 means long ago."""
@@ -44,7 +46,7 @@
     """Raises Torn where the line is cut, garbled or names something impossible."""
     try:
         news = _news.decode(line)
-    except (msgspec.DecodeError, UnicodeDecodeError) as fault:
+    except UNREADABLE as fault:
         raise Torn(str(fault)) from None
     if news.version < 0 or any(not address_of(entry.address) for entry in news.engines):
         raise Torn("a version below 0 or an address that is not host:port")
--- a/tests/test_rare.py
+++ b/tests/test_rare.py
@@ -22,16 +22,20 @@
 from runspool.node.running import Running
 from runspool.sockets.lines import Line, dial
 from tests.platform import (
+    BODY,
     EVENTS,
     READ,
     SETTINGS,
+    STREAM,
     WAIT,
     Client,
     Platform,
     Request,
     chunked,
     post,
+    says,
     silent,
+    whole,
 )
 
 pytestmark = pytest.mark.anyio
@@ -172,6 +176,49 @@
         await asyncio.wait_for(platform.run, WAIT)
 
 
+# Faults.
+
+
+async def test_a_fault_in_a_standing_task_ends_nothing(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        faults = []
+
+        def fails(*said: Any) -> None:
+            faults.append(said)
+            raise RuntimeError("a fault of the program")
+
+        sound = running.node.timers.ring, running.catalog.hearer.hear
+        running.node.timers.ring = fails
+        running.catalog.hearer.hear = fails  # type: ignore[method-assign, assignment]
+        running.node.timers.at(0, "0.0@node")
+        platform.tell()
+        running.node.calls.vigil.watch(0, fails).since = 1
+        async with asyncio.timeout(WAIT):
+            while len(faults) < 3:
+                await asyncio.sleep(0.001)
+        running.node.timers.ring = sound[0]
+        running.catalog.hearer.hear = sound[1]  # type: ignore[method-assign]
+        assert (await platform.ask(post("q1"))).whole
+        assert not platform.run.done()
+
+
+async def test_a_fault_after_a_shot_ends_its_query_alone(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        node, over = running.node, running.node.shot_over
+
+        def fails(taken: Held, *said: Any) -> None:
+            if taken.id == "bad":
+                raise RuntimeError("a fault of the program")
+            over(taken, *said)
+
+        node.shot_over = fails  # type: ignore[method-assign, assignment]
+        assert (await platform.ask(post("bad"))).status == 500
+        assert (await platform.ask(post("q1"))).whole
+        assert not node.queries and not platform.run.done()
+
+
 # Clients that go. Nothing is sent on for them, and nothing of theirs stays held.
 
 
@@ -310,6 +357,22 @@
        + b"[" * 20_000 + b"\n\n"), "bad size": chunked(EVENTS[1]) + b"zz\r\n"}
 
 
+@pytest.mark.parametrize("where", ["body", "event", "read"])
+async def test_json_nested_a_hundred_thousand_deep_ends_at_most_its_query(where: str, tmp_path: Path) -> None:
+    deep = b'{"a":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        scripts = {"event": ("w", STREAM + chunked(b'data: {"choices":' + b"[" * 20_000 + b"\n\n")),
+                   "read": ("r", whole(202, deep[:30_000]))}
+        if where in scripts:
+            engine, data = scripts[where]
+            platform.engines[engine].scripts = [says(data)]
+        answer = await platform.ask(post("q1", "book", body=deep if where == "body" else BODY))
+        assert answer.status == {"body": 400, "event": 500, "read": 200}[where]
+        assert (await platform.ask(post("q2"))).whole
+        assert not platform.run.done() and not running.node.queries
+
+
 async def test_writers_to_which_no_connection_comes_up_do_not_pin_a_state(
         tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     async def dials(address: tuple[str, int], source: str | None) -> Line:
