Good events ahead of a bad one go out, and events may end in any line's end

Seen by tests: a good event that comes in the same bytes as one that cannot be read, or as a bad chunk size, never reaches the client; a stream whose lines end in CR LF or CR is held back to its end, then fails.

At fault: events.py, feed(): `rfind(b"\n\n")`, and Spoilt raised before anything is handed out; calls.py, _follow(): what was taken apart ahead of the bad bytes is dropped.

Change: events end at an empty line of any of the three line ends; the good ones go first, the fault after them. Before a first event has gone out the whole shot still fails, since another engine may give the whole stream.

Tests fail without it, but for the line end that was known.

--- a/runspool/node/calls.py
+++ b/runspool/node/calls.py
@@ -109,19 +109,32 @@
             if link.reply.complete:
                 raise Stopped(Mishap.GARBLED, "an answer without any event")
             await self._more(link, Mishap.CUT_IN_ANSWER)
+        _sound(events)  # nothing has been passed on: another engine may still give the whole stream
         return come
 
     async def _follow(self, link: Link, events: Events, watched: Watched, hearing: Listener[bytes]) -> None:
         """Passes on all that follows, to the answer's last chunk."""
         while not link.reply.complete:
             watched.since = self.now()
-            await self._more(link, Mishap.CUT_IN_STREAM)
+            try:
+                await self._more(link, Mishap.CUT_IN_STREAM)
+            except Stopped:
+                # What came whole ahead of bytes that cannot be read is the client's.
+                if come := events.feed(link.reply.take()):
+                    await hearing.said(come)
+                raise
             watched.since = 0
             if come := events.feed(link.reply.take()):
                 await hearing.said(come)
+            _sound(events)
         events.ended()
 
 
+def _sound(events: Events) -> None:
+    if events.fault is not None:
+        raise events.fault
+
+
 def _request(ask: Ask, limit: int) -> bytes:
     """The client's request as it goes on: method, target, body and id unchanged."""
     return worded("POST", ask.target, {
--- a/runspool/node/events.py
+++ b/runspool/node/events.py
@@ -5,15 +5,17 @@
 
 from __future__ import annotations
 
-import msgspec
+import re
 
+import msgspec
 
-class Spoilt(Exception):
 from runspool.wire.fields import UNREADABLE
 
 
 ENDS = re.compile(rb"\n\r?\n|\r\r\n?")  # a line's end and an empty line, whichever of the three ends it has
 
+
+class Spoilt(Exception):
     """Bytes that cannot belong to a good stream."""
 
 
@@ -47,22 +49,30 @@
         self.cap = cap
         self.done = False
         self.kept = self.read = self.made = 0
+        self.fault: Spoilt | None = None  # what was found after the events last handed out
         self._rest = b""
 
     def feed(self, data: bytes) -> bytes:
-        """The bytes of all events that are whole by now; raises Spoilt, after which nothing can be told."""
+        """The bytes of all events that are whole by now. Raises Spoilt where the first of them is bad; where
+        one after it is, `fault` says so, and nothing more is to be fed."""
         come = self._rest + data if self._rest else data
-        end = come.rfind(b"\n\n") + 2
-        if end < 2:
-            whole, self._rest = b"", come
-        else:
-            whole, self._rest = come[:end], come[end:]
-        if len(self._rest) > self.cap:
-            raise Spoilt(f"an event of over {self.cap} bytes")
-        for event in whole.split(b"\n\n"):
-            if event:
-                self._look(event)
-        return whole
+        whole = 0
+        for end in ENDS.finditer(come):
+            try:
+                self._look(come[whole:end.end()])
+            except Spoilt as fault:
+                # Against good events being kept from the client by a bad one that came in the same bytes.
+                if not whole:
+                    raise
+                self.fault = fault
+                break
+            whole = end.end()
+        self._rest = come[whole:]
+        if len(self._rest) > self.cap and self.fault is None:
+            self.fault = Spoilt(f"an event of over {self.cap} bytes")
+            if not whole:
+                raise self.fault
+        return come[:whole]
 
     def ended(self) -> None:
         """The answer's body is over; raises Spoilt where it lacks its last event or has half of one."""
@@ -70,7 +80,7 @@
             raise Spoilt("the stream ends without its last event")
 
     def _look(self, event: bytes) -> None:
-        for line in event.split(b"\n"):
+        for line in event.splitlines():
             if line.startswith(b"data:"):
                 self._data(line[5:].strip())
             elif line and not line.startswith((b":", b"event:", b"id:", b"retry:")):
--- a/tests/test_rare.py
+++ b/tests/test_rare.py
@@ -353,10 +353,56 @@
         assert answer.whole and answer.headers["connection"] == "close"
 
 
+@pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n", b"\r\r"])
+async def test_events_go_on_one_by_one_whatever_ends_their_lines(end: bytes, tmp_path: Path) -> None:
+    events = [event.replace(b"\n\n", end) for event in EVENTS]
+    passed = [asyncio.Event() for _ in events]
+
+    async def one_by_one(asked: Request) -> None:
+        await asked.say(STREAM)
+        for event, seen in zip(events, passed, strict=True):
+            await asked.say(chunked(event))
+            await asyncio.wait_for(seen.wait(), WAIT)  # the next only once its client has this one
+        await asked.say(b"0\r\n\r\n")
+
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside():
+        platform.engines["w"].scripts = [one_by_one]
+        client = await platform.client()
+        client.send(post("q1"))
+        answer = await client.head()
+        for event, seen in zip(events, passed, strict=True):
+            assert await client.chunk() == event
+            seen.set()
+        assert (await client.rest(answer)).whole
+
+
 BAD = {"no json": chunked(EVENTS[1] + b"data: {oops\n\n"), "deep": chunked(EVENTS[1] + b'data: {"choices":'
        + b"[" * 20_000 + b"\n\n"), "bad size": chunked(EVENTS[1]) + b"zz\r\n"}
 
 
+@pytest.mark.parametrize("how", BAD)
+async def test_good_events_ahead_of_a_bad_one_are_passed_on(how: str, tmp_path: Path) -> None:
+    seen = asyncio.Event()
+
+    async def spoils(asked: Request) -> None:
+        await asked.say(STREAM + chunked(EVENTS[0]))
+        await asyncio.wait_for(seen.wait(), WAIT)
+        await asked.say(BAD[how])
+        await asked.closed()
+
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside():
+        platform.engines["w"].scripts = [spoils]
+        client = await platform.client()
+        client.send(post("q1"))
+        answer = await client.head()
+        assert await client.chunk() == EVENTS[0]
+        seen.set()
+        answer = await client.rest(answer)
+        assert (answer.body, answer.whole) == (EVENTS[1], False)
+
+
 @pytest.mark.parametrize("where", ["body", "event", "read"])
 async def test_json_nested_a_hundred_thousand_deep_ends_at_most_its_query(where: str, tmp_path: Path) -> None:
     deep = b'{"a":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
