A connection just used is passed over, as a second answer may still come on it

Seen by a test: an engine's second answer that comes some milliseconds late on a kept connection, after the next request's last byte has gone, is taken for that request's: the prompt counts as read, and a writer is asked for a state that nobody has.

At fault: connections.py, take(): the link used last is taken first, however short ago; exchange.py, _send(): the look is one round trip, 5 ms at most.

Change: for 25 ms after an exchange a link is passed over where another can be had or made; else its rest is waited out before the last byte. The list's own connection and the house's front keep no rest.

test_node's kept connection that is reset by the next request sets the rest to 0: it is about that connection, however soon used. The test fails without the mend.

--- a/runspool/engines/connections.py
+++ b/runspool/engines/connections.py
@@ -61,10 +61,12 @@
 class Pool:
     """Links by address. Nothing here waits for another's link: past the cap Full is raised at once."""
 
-    def __init__(self, terms: Speaking, now: Callable[[], int], most: int = 0) -> None:
-        """`most` bounds the links to all engines together, 0 sets no bound."""
+    def __init__(self, terms: Speaking, now: Callable[[], int], most: int = 0, rest: int = 0) -> None:
+        """`most` bounds the links to all engines together, 0 sets no bound. For `rest` tenths of a
+        millisecond after an exchange a link is passed over where another can be had."""
         self.terms = terms
         self.most = most
+        self.rest = rest
         self.now = now
         self.idle: dict[Address, deque[Link]] = {}
         self.open: dict[Address, int] = {}
@@ -75,12 +77,24 @@
         Raises Full past the cap, OSError or TimeoutError where none can be made; cancelled, leaves none open.
         """
         waiting = self.idle.get(address)
-        while waiting:
-            link = waiting.pop()
-            if not link.spoke() and self.now() - link.idle_since < self.terms.idle_ms * TENTHS:
-                return link
-            self.drop(link)
-        if self.open.get(address, 0) >= self.terms.connections_each:
+        young: list[Link] = []  # the newest first
+        try:
+            while waiting:
+                link = waiting.pop()
+                age = self.now() - link.idle_since
+                if link.spoke() or age >= self.terms.idle_ms * TENTHS:
+                    self.drop(link)
+                elif age < self.rest:
+                    young.append(link)
+                else:
+                    return link
+            full = self.open.get(address, 0) >= self.terms.connections_each
+            if young and (full or (self.most and sum(self.open.values()) >= self.most)):
+                return young.pop()
+        finally:
+            if young and waiting is not None:
+                waiting.extend(reversed(young))
+        if full:
             raise Full(f"{address[0]}:{address[1]}")
         if self.most and sum(self.open.values()) >= self.most and not self._spare():
             raise Full(f"all {self.most} connections to engines are in use")
--- a/runspool/engines/exchange.py
+++ b/runspool/engines/exchange.py
@@ -73,13 +73,15 @@
 class Exchanges:
     """Carries out exchanges on pooled connections."""
 
-    def __init__(self, terms: Speaking, now: Callable[[], int], silence_ms: float, most: int = 0) -> None:
-        """`most` bounds the connections to all peers together, 0 sets no bound."""
+    def __init__(self, terms: Speaking, now: Callable[[], int], silence_ms: float, most: int = 0,
+                 rest_ms: float = 0) -> None:
+        """`most` bounds the connections to all peers together, 0 sets no bound; `rest_ms` is how long after
+        an exchange its peer may still say what belongs to it."""
         self.terms = terms
         self.now = now
         self.silence = tenths(silence_ms)
         self.vigil = Vigil(now)
-        self.pool = Pool(terms, now, most)
+        self.pool = Pool(terms, now, most, tenths(rest_ms))
 
     def said_no(self, reply: Reply, body: bytes) -> tuple[Mishap, str]:
         """What an answer of another status than the wanted one means, and a detail for the log."""
@@ -125,8 +127,11 @@
             await link.line.send(request[:-1])
             # A connection that its engine gave up without a word is reset by the first bytes to reach it,
             # which takes a round trip to be seen: sooner the last byte would go, and with it all certainty.
+            # And an answer too many may come some milliseconds after the one before, and would be taken for
+            # this request's.
             if link.idle_since:
-                await link.line.silent_for(min(link.round_trip, LONGEST_LOOK) / (1000 * TENTHS))
+                look = max(min(link.round_trip, LONGEST_LOOK), self.pool.rest - self.now() + link.idle_since)
+                await link.line.silent_for(look / (1000 * TENTHS))
             if link.spoke():
                 raise Stopped(Mishap.CUT_BEFORE_LAST_BYTE, "closed or answered before it had the request")
             if barred():
--- a/runspool/node/node.py
+++ b/runspool/node/node.py
@@ -22,6 +22,7 @@
 
 NAMES_KNOWN = 20_000  # texts' names remembered before the one unseen for longest is forgotten
 STREAM_SILENCE_MS = 4_000  # after a stream's last event; its client is to be told before 5 s
+REST_MS = 25  # after an answer, in which another may come: the platform says some milliseconds late
 EVENT_BYTES = 65_536  # of one event, and of a read's answer
 RELEASE_TRIES = 6  # engines asked to let go of a state within half the time there is for it
 RELEASE_MS = 1_000  # that time where the settings grant none
@@ -59,7 +60,7 @@
         # An engine closes what has been idle for its time: a request that crosses that may count as run.
         idle_ms = granted.idle_for / 10 * 0.75 or 10_000.0
         self.calls = Calls(Speech(granted.connect_within / 10 or 250.0, idle_ms, connections, connections),
-                           now, STREAM_SILENCE_MS, connections)
+                           now, STREAM_SILENCE_MS, connections, REST_MS)
         self.open: set[str] = set()  # ids of the queries held
         self.leaves_by = 0  # 0 while nobody has asked this node to stop
         self.quarter = Quarter(DESK, granted.terms, posting.seed, self, Tape(None))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -444,7 +444,8 @@
     classes = [row | {"aim-us": 5_000_000} for row in SETTINGS["classes"]]
     limits = SETTINGS["limits"] | {"dial-timeout-us": 5_000_000}
     platform.settings = SETTINGS | {"limits": limits, "classes": classes}
-    async with platform.inside():
+    async with platform.inside() as running:
+        running.node.calls.pool.rest = 0  # the kept connection is what this is about, however soon it is used
         platform.engines["w"].scripts = [given_up]
         assert (await platform.ask(post("q1"))).whole
         assert (await platform.ask(post("q2", "book", req_deadline="9000m"))).whole
--- a/tests/test_rare.py
+++ b/tests/test_rare.py
@@ -33,6 +33,7 @@
     Request,
     chunked,
     post,
+    request_of,
     says,
     silent,
     whole,
@@ -353,6 +354,46 @@
         assert answer.whole and answer.headers["connection"] == "close"
 
 
+# Engines.
+
+
+async def test_a_second_answer_that_comes_late_is_not_taken_for_the_next_querys(tmp_path: Path) -> None:
+    async def twice(asked: Request) -> None:
+        await asked.say(READ)
+        await request_of(asked.reader)
+        await asked.say(READ)  # the first one's, again: this request is not read yet
+        await asked.closed()
+
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        running.node.calls.pool.rest = 600_000  # whatever the machine's speed, the link has just been used
+        platform.engines["r"].scripts = [twice]
+        assert (await platform.ask(post("q1"))).whole
+        assert (await platform.ask(post("q2"))).whole
+        # Had it been taken, the state would have been fetched from a reader that never had it.
+        assert [shot.engine for shot in platform.shots("q2")] == ["r", "w"]
+
+
+async def test_a_link_just_used_waits_its_rest_where_no_other_can_be_had(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        pool = running.node.calls.pool
+        assert (await platform.ask(post("q1"))).whole
+        looks: list[float] = []
+        for waiting in pool.idle.values():
+            for link in waiting:
+                silent_for = link.line.silent_for
+
+                async def looked(seconds: float, silent_for: Any = silent_for) -> bool:
+                    looks.append(seconds)
+                    return bool(await silent_for(0))
+
+                link.line.silent_for = looked  # type: ignore[method-assign]
+        pool.rest, pool.most = 600_000, sum(pool.open.values())
+        assert (await platform.ask(post("q2"))).whole
+        assert len(looks) == 2 and min(looks) > 30
+
+
 @pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n", b"\r\r"])
 async def test_events_go_on_one_by_one_whatever_ends_their_lines(end: bytes, tmp_path: Path) -> None:
     events = [event.replace(b"\n\n", end) for event in EVENTS]
