A silent agent is asked anew every 100 ms, and a start waits for its first list

Three nodes' logs: list_lost at 5.42, 6.52, 8.72 ("time ran out"), the whole list at 11.03 to 11.06, while the agents had it from 10.6 on. What an agent is asked in an outage it never answers, and the next try came a second later.

Ruled out: the watch itself (news came within 20 ms before and after), shots held in dialling (barred at the last byte).

At fault: catalog.py, _get(): a limit of 1 s for a whole list, one try at a time, and `sleep(RETRY)` after a reset, against 250 ms of grace. By reading, beside it: a watch of 4 s and 1 s of grace is noticed too late for an outage of some seconds; a node took requests on the list of its earlier life, though what its agent has counts as told from the first moment; changes in place of a whole list were waited on for ever.

Change: tries 100 ms apart side by side until one is answered; watches of 1 s and 0.4 s of grace; a first try at once after a break; the listener is served from the first whole list on, or after 1.5 s of silence.

Tests fail without it.

--- a/runspool/node/catalog.py
+++ b/runspool/node/catalog.py
@@ -15,12 +15,15 @@
 from runspool.node.members import BadList, read_list, target
 from runspool.roster.following import Following
 from runspool.roster.hearing import Hearer
-from runspool.units import tenths
+from runspool.units import TENTHS, tenths
 from runspool.wire.listing import Entry
 
-WAIT_MS = 4_000  # that a watch may last: its news count as told 2 s after that, whatever came between
-GRACE_MS = 1_000  # beyond it, before the agent counts as silent
-RETRY = 0.1  # seconds after a break
+# What a silent watch misses counts as told 6 s after it fell silent, or later; what an agent gets at its
+# return counts at once, and what it was asked before that it never answers. So silence is to be known within
+# the seconds that an outage lasts, and from then on asked into again and again.
+WAIT_MS = 1_000  # that a watch may last
+GRACE_MS = 400  # beyond it, and for a whole list, before the agent counts as silent
+RETRY = 0.1  # seconds between the beginnings of two tries; the first after a break comes at once
 
 
 class Catalog(Exchanges):
@@ -34,6 +37,8 @@
         self.log = structlog.get_logger()
         self.lists = 0  # whole ones, each the start of a count of its own
         self.scope: anyio.CancelScope | None = None
+        self.began = 0  # the watch or the tries that are under way
+        self.heard = anyio.Event()  # a first whole list
 
     def said_no(self, reply: Reply, body: bytes) -> tuple[Mishap, str]:
         return Mishap.FAILED, ""
@@ -50,29 +55,52 @@
         """Runs until cancelled; whatever the service does, the last list stays."""
         while True:
             with anyio.CancelScope() as self.scope:
+                self.began = self.now()
                 try:
                     await self._watch(self.address)
                 except (Stopped, BadList) as fault:
                     self.hearer.broke(fault)
                 self.pool.close()
                 self.hearer.lost()
-                await anyio.sleep(RETRY)
+                # No rest after what has stood for a while: a drain may be told meanwhile, and its grace run.
+                await anyio.sleep(max(0.0, RETRY - (self.now() - self.began) / (1000 * TENTHS)))
 
     async def _watch(self, address: Address) -> None:
-        after: int | None = None  # a new connection may count anew, so it begins with the whole list
+        # A new connection may count anew, so it begins with the whole list.
+        after = self._heard(await self._whole_list(address), None)
         while True:
-            raw = await self._get(address, after)
-            after = self._heard(raw, after)
+            after = self._heard(await self._get(address, after), after)
+
+    async def _whole_list(self, address: Address) -> bytes:
+        """By one try beside the other, for as long as none is answered."""
+        told: list[bytes] = []
+
+        async def ask() -> None:
+            try:
+                told.append(await self._get(address, None))
+            except Stopped as fault:
+                self.hearer.broke(fault)
+            else:
+                tries.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tries:
+            while True:
+                tries.start_soon(ask)
+                await anyio.sleep(RETRY)
+        return told[0]
 
     def _heard(self, raw: bytes, since: int | None) -> int:
         """Takes an answer; the version to ask after next."""
         # A service that lost its numbers begins at a low one. Answers on one connection come in order, so
         # that a whole list is always the newest word, whatever its number.
         news, faults = read_list(raw, since)
+        if since is None and not news.whole:
+            raise BadList("changes in place of the whole list")
         self.lists += news.whole
         for fault in faults[:3]:
             self.log.warning("list_line_unusable", fault=fault)
         self.hearer.hear(msgspec.structs.replace(news, epoch=str(self.lists)))
+        self.heard.set()
         return news.version
 
     async def _get(self, address: Address, after: int | None) -> bytes:
--- a/runspool/node/running.py
+++ b/runspool/node/running.py
@@ -29,11 +29,10 @@
 KILL_AFTER = 7_000  # beyond the longest hard limit: no sooner does a kill follow SIGTERM
 KILL_MARGIN = 5_000  # before that, by when nothing may be held any more
 LAST_TAKEN = 8_000  # and before that again, so that what is taken last can still be answered
-LIST_BYTES = 16 << 20
+STILL_COME = 5_000  # after SIGTERM, for so long at least: new connections come for up to 400 ms
 LIST_BYTES = 16 << 20
 LOOK_AGAIN, LOOK_REST = 30_000, 0.25  # how long, and each how many seconds, a bad posting is looked at again
 FIRST_LIST = 1.5  # seconds that a start waits for a first whole list, against an agent that is silent
-STILL_COME = 5_000  # after SIGTERM, for so long at least: new connections come for up to 400 ms
 TURNED, TURNED_TIME = 8, 0.5  # connections turned away that are listened to at once, and seconds for each
 LONGEST_STOP = 60.0  # seconds that running streams may take to their end
 
@@ -50,14 +49,14 @@
         room = may_hold - RESERVE
         self.most = int(room * CLIENTS_PART)
         self.node = Node(posting, room - self.most)
-        speech = Speech(connect_ms=1_000, idle_ms=60_000, connections_each=2, idle_each=1,
+        speech = Speech(connect_ms=1_000, idle_ms=60_000, connections_each=6, idle_each=1,
                         read_answer_bytes=LIST_BYTES)
         self.catalog = Catalog(speech, posting.discovery, self.node.following, now,
                                self.node.engines_changed, self.node.quarter.list_lost)
         self.clients: set[Intake] = set()
         self.busy = 0
-        self.postings = 0  # times that the configuration was to be read again
         self.turned = 0
+        self.postings = 0  # times that the configuration was to be read again
         self.stopping = anyio.Event()
         self.port = 0
 
@@ -80,6 +79,9 @@
                     tasks.start_soon(self._standing, work)
                 if signals is not None:
                     tasks.start_soon(self._obey, signals)
+                # Against sending on what was known in an earlier life: what the agent has counts as told.
+                with anyio.move_on_after(FIRST_LIST):
+                    await self.catalog.heard.wait()
                 for each in listener.listeners:
                     tasks.start_soon(accept_all, each.extra(SocketAttribute.raw_socket), tasks, self._client)
                 self.log.info("node_listening", node=posting.name, port=self.port, clients=self.most,
@@ -93,12 +95,6 @@
             self.catalog.pool.close()
         self.log.info("node_stopped", node=posting.name, counts=dict(node.counts))
 
-    def stop(self) -> None:
-        """Takes what still comes for a while; what is held ends in final answers first."""
-        self.stopping.set()
-
-    async def _obey(self, signals: AsyncIterator[signal.Signals]) -> None:
-        async for number in signals:
     async def _standing(self, work: Callable[[], Awaitable[None]]) -> None:
         """Against one fault in work that never ends, or in what it rings for, ending the node."""
         while True:
@@ -108,6 +104,12 @@
                 self.log.exception("task_failed", work=work.__qualname__, fault=repr(fault))
                 await anyio.sleep(AGAIN)
 
+    def stop(self) -> None:
+        """Takes what still comes for a while; what is held ends in final answers first."""
+        self.stopping.set()
+
+    async def _obey(self, signals: AsyncIterator[signal.Signals]) -> None:
+        async for number in signals:
             if number == signal.SIGHUP:
                 assert self.node.tasks is not None
                 self.node.tasks.start_soon(self.posted_again)
@@ -153,6 +155,8 @@
                 self.log.warning("node_still_holds", answers=self.busy, releases=node.releasing, queries={
                     taken.id: [taken.begun, taken.shots, taken.final is not None, taken.limit - now()]
                     for taken in list(node.queries.values())[:20]})
+                # Against hard limits beyond the kill: what is held is answered and let go of before it.
+                node.scrap_all(begun=False)
                 await self._nothing_held()
 
     async def _nothing_held(self) -> None:
@@ -178,8 +182,6 @@
             self.clients.discard(intake)
             line.drop()
 
-                # Against hard limits beyond the kill: what is held is answered and let go of before it.
-                node.scrap_all(begun=False)
     async def _turn_away(self, line: Line) -> None:
         """What it sends is swallowed briefly, or a reset would eat the answer; a few at a time, as each takes
         a descriptor of the reserve."""
--- a/tests/test_rare.py
+++ b/tests/test_rare.py
@@ -11,17 +11,20 @@
 from typing import Any, cast
 
 import pytest
+from msgspec.structs import replace
 
 from runspool.decisions.interface import Ending
 from runspool.engines.connections import Address
 from runspool.engines.endings import Mishap
 from runspool.engines.exchange import Barred, Ended
+from runspool.node import catalog as node_catalog
 from runspool.node import running as node_running
 from runspool.node.asks import Ask
 from runspool.node.intake import Intake
 from runspool.node.node import Held, Node
 from runspool.node.running import Running
 from runspool.sockets.lines import Line, dial
+from runspool.units import tenths
 from tests.platform import (
     BODY,
     EVENTS,
@@ -178,6 +181,83 @@
         await asyncio.wait_for(platform.run, WAIT)
 
 
+# The list.
+
+
+async def test_a_start_asks_for_the_list_before_it_takes_anything(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR | {"s": "prefill"})
+    platform.states["s"] = "leaving"  # as the agent has it from the first moment
+    platform.list_gate.clear()
+    async with platform.inside(wait=False) as running:
+        # What this node had in an earlier life is still without the drain.
+        running.node.engines_changed(running.node.following.recalled(
+            [replace(entry, state="on") for entry in running.posting.known.engines]))
+        await platform.until(lambda: bool(platform.lists))
+        client = await platform.client()
+        for at in range(6):
+            client.send(post(f"q{at}"))
+            if not at:
+                platform.list_gate.set()
+            assert (await client.answer()).whole
+            assert [shot.engine for shot in platform.shots(f"q{at}")] == ["r", "w"]
+
+
+async def test_a_start_with_a_silent_agent_serves_on_the_last_list(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(node_running, "FIRST_LIST", 0.05)
+    platform = Platform(tmp_path, PAIR)
+    platform.list_gate.clear()
+    async with platform.inside():
+        assert (await platform.ask(post("q1"))).whole
+
+
+async def test_a_reset_watch_is_opened_anew_without_a_rest(tmp_path: Path,
+                                                            monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(node_catalog, "RETRY", 600.0)
+    platform = Platform(tmp_path, PAIR | {"s": "prefill"})
+    async with platform.inside() as running:
+        await platform.until(lambda: any("after=" in one for one in platform.lists))
+        # It has stood for as long as two tries lie apart.
+        running.catalog.began -= tenths(600_000)
+        platform.states["s"], platform.version = "leaving", 2  # told while no watch is open
+        for task in list(platform.tasks):
+            task.cancel()
+        await platform.until(lambda: any("after=2" in one for one in platform.lists))
+        assert running.node.lines["s"].state == "draining"
+
+
+async def test_an_agent_that_never_answers_what_it_was_asked_in_an_outage_is_asked_anew(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(node_catalog, "GRACE_MS", 600_000)  # no try runs out: another is begun beside it
+    platform = Platform(tmp_path, PAIR | {"s": "prefill"})
+    async with platform.inside() as running:
+        await platform.until(lambda: any("after=" in one for one in platform.lists))
+        platform.states["s"], platform.version = "leaving", 2
+        platform.list_scripts = [None, None]
+        for task in list(platform.tasks):
+            task.cancel()
+        await platform.until(lambda: any("after=2" in one for one in platform.lists))
+        assert running.node.lines["s"].state == "draining"
+        assert len(running.catalog.pool.open) == 1 and sum(running.catalog.pool.open.values()) == 1
+
+
+async def test_silence_is_known_and_asked_into_within_what_the_platform_allows() -> None:
+    known = node_catalog.WAIT_MS + node_catalog.GRACE_MS
+    assert known + 2 * 1000 * node_catalog.RETRY < 2_000  # an outage lasts some seconds
+    assert 2 * 1000 * node_catalog.RETRY <= 250  # a drain's grace, from the agent's return on
+
+
+@pytest.mark.parametrize("trouble", [
+    b"[" * 100_000, b'{"index":7,"snapshot":true,"endpoints":' + b"[" * 5_000,
+    b'{"index":7,"snapshot":false,"endpoints":[]}'])
+async def test_a_list_nested_too_deep_or_half_ends_nothing(trouble: bytes, tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    platform.list_scripts = [trouble]
+    async with platform.inside():
+        await platform.until(lambda: any("after=" in one for one in platform.lists))
+        assert (await platform.ask(post("q1"))).whole
+
+
 async def test_a_configuration_that_is_half_written_is_looked_at_again(tmp_path: Path) -> None:
     async with Platform(tmp_path, PAIR).open() as platform:
         other = Platform(tmp_path, {})
