--- a/runspool/node/running.py
+++ b/runspool/node/running.py
@@ -5,7 +5,7 @@
 import gc
 import resource
 import signal
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import suppress
 
 import anyio
@@ -22,13 +22,17 @@
 from runspool.wire.requests import head
 
 SWEEP = 0.5  # seconds between looks for idle connections
+AGAIN = 0.02  # seconds before a standing task that failed begins again
 RESERVE = 28  # descriptors for the list, the listener, the loop and what the interpreter opens
 CLIENTS_PART = 0.45  # of the rest; requests take a third of all at most, silent clients may be dropped
 LONGEST_COUNTED = 30_000  # tenths of a millisecond: a hard limit beyond it puts off the kill no further
 KILL_AFTER = 7_000  # beyond the longest hard limit: no sooner does a kill follow SIGTERM
 KILL_MARGIN = 5_000  # before that, by when nothing may be held any more
 LAST_TAKEN = 8_000  # and before that again, so that what is taken last can still be answered
+STILL_COME = 5_000  # after SIGTERM, for so long at least: new connections come for up to 400 ms
 LIST_BYTES = 16 << 20
+LOOK_AGAIN, LOOK_REST = 30_000, 0.25  # how long, and each how many seconds, a bad posting is looked at again
+FIRST_LIST = 1.5  # seconds that a start waits for a first whole list, against an agent that is silent
 TURNED, TURNED_TIME = 8, 0.5  # connections turned away that are listened to at once, and seconds for each
 LONGEST_STOP = 60.0  # seconds that running streams may take to their end
 
@@ -45,13 +49,14 @@
         room = may_hold - RESERVE
         self.most = int(room * CLIENTS_PART)
         self.node = Node(posting, room - self.most)
-        speech = Speech(connect_ms=1_000, idle_ms=60_000, connections_each=2, idle_each=1,
+        speech = Speech(connect_ms=1_000, idle_ms=60_000, connections_each=6, idle_each=1,
                         read_answer_bytes=LIST_BYTES)
         self.catalog = Catalog(speech, posting.discovery, self.node.following, now,
                                self.node.engines_changed, self.node.quarter.list_lost)
-        self.clients: dict[Intake, anyio.CancelScope] = {}
+        self.clients: set[Intake] = set()
         self.busy = 0
         self.turned = 0
+        self.postings = 0  # times that the configuration was to be read again
         self.stopping = anyio.Event()
         self.port = 0
 
@@ -71,9 +76,12 @@
                 node.tasks = tasks
                 self.port = listener.extra(SocketAttribute.local_port)
                 for work in (node.timers.run, node.calls.vigil.run, self._sweep, self.catalog.follow):
-                    tasks.start_soon(work)
+                    tasks.start_soon(self._standing, work)
                 if signals is not None:
                     tasks.start_soon(self._obey, signals)
+                # Against sending on what was known in an earlier life: what the agent has counts as told.
+                with anyio.move_on_after(FIRST_LIST):
+                    await self.catalog.heard.wait()
                 for each in listener.listeners:
                     tasks.start_soon(accept_all, each.extra(SocketAttribute.raw_socket), tasks, self._client)
                 self.log.info("node_listening", node=posting.name, port=self.port, clients=self.most,
@@ -87,6 +95,15 @@
             self.catalog.pool.close()
         self.log.info("node_stopped", node=posting.name, counts=dict(node.counts))
 
+    async def _standing(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Against one fault in work that never ends, or in what it rings for, ending the node."""
+        while True:
+            try:
+                return await work()
+            except Exception as fault:
+                self.log.exception("task_failed", work=work.__qualname__, fault=repr(fault))
+                await anyio.sleep(AGAIN)
+
     def stop(self) -> None:
         """Takes what still comes for a while; what is held ends in final answers first."""
         self.stopping.set()
@@ -94,17 +111,25 @@
     async def _obey(self, signals: AsyncIterator[signal.Signals]) -> None:
         async for number in signals:
             if number == signal.SIGHUP:
-                self.posted_again()
+                assert self.node.tasks is not None
+                self.node.tasks.start_soon(self.posted_again)
             else:
                 self.stop()
 
-    def posted_again(self) -> None:
-        """A new configuration: the list's address is taken at once. A bad one leaves all as it was."""
-        try:
-            posting = self.again()
-        except BadPosting as fault:
-            self.log.error("posting_unusable", fault=str(fault))
-            return
+    async def posted_again(self) -> None:
+        """A new configuration: the list's address is taken at once. A bad one leaves all as it was, and is
+        looked at again for a while: it may be half written."""
+        self.postings += 1
+        mine, until = self.postings, now() + LOOK_AGAIN
+        while True:
+            try:
+                posting = self.again()
+                break
+            except BadPosting as fault:
+                self.log.error("posting_unusable", fault=str(fault))
+            await anyio.sleep(LOOK_REST)
+            if mine != self.postings or now() > until:
+                return
         if posting.granted.terms != self.posting.granted.terms or posting.listen != self.posting.listen:
             self.log.warning("posting_needs_restart", what="settings or listen changed; the old ones hold")
         self.log.info("posting_read", discovery=f"{posting.discovery[0]}:{posting.discovery[1]}")
@@ -115,13 +140,14 @@
         node = self.node
         self.log.info("node_stopping", node=self.posting.name, queries=len(node.queries))
         at = now()
-        by = at + min(LONGEST_COUNTED, max(self.posting.granted.hard_limits)) + KILL_AFTER - KILL_MARGIN
+        longest = max(self.posting.granted.hard_limits) or LONGEST_COUNTED
+        by = at + min(LONGEST_COUNTED, longest) + KILL_AFTER - KILL_MARGIN
         node.leave(by)
-        await anyio.sleep((by - LAST_TAKEN - at) / 10_000)
+        # Against short hard limits ending the process while new connections still come; and, where streams
+        # cannot be moved, against taking any that would still run when the kill comes.
+        last = by - LAST_TAKEN - at if node.house.resumes else STILL_COME
+        await anyio.sleep(max(STILL_COME, last) / 10_000)
         node.closing = True
-        for intake, scope in list(self.clients.items()):
-            if intake.idle_since:
-                scope.cancel()
         with anyio.move_on_after(LONGEST_STOP):
             with anyio.move_on_after((by - now()) / 10_000) as in_time:
                 await self._nothing_held()
@@ -129,10 +155,17 @@
                 self.log.warning("node_still_holds", answers=self.busy, releases=node.releasing, queries={
                     taken.id: [taken.begun, taken.shots, taken.final is not None, taken.limit - now()]
                     for taken in list(node.queries.values())[:20]})
+                # Against hard limits beyond the kill: what is held is answered and let go of before it.
+                node.scrap_all(begun=False)
                 await self._nothing_held()
 
     async def _nothing_held(self) -> None:
-        while self.busy or self.node.queries or self.node.releasing:
+        while True:
+            # Those whose request has come in this moment are served first, and leave by themselves.
+            for intake in list(self.clients):
+                intake.end_wait()
+            if not (self.busy or self.clients or self.node.queries or self.node.releasing):
+                return
             await anyio.sleep(0.02)
 
     async def _client(self, line: Line) -> None:
@@ -140,15 +173,14 @@
             await self._turn_away(line)
             return
         intake = Intake(self.node, line, self._working)
-        with anyio.CancelScope() as scope:
-            self.clients[intake] = scope
-            try:
-                await intake.run()
-            except Exception as fault:  # one client's trouble stays its own
-                self.log.exception("client_failed", fault=repr(fault))
-            finally:
-                del self.clients[intake]
-                line.drop()
+        self.clients.add(intake)
+        try:
+            await intake.run()
+        except Exception as fault:  # one client's trouble stays its own
+            self.log.exception("client_failed", fault=repr(fault))
+        finally:
+            self.clients.discard(intake)
+            line.drop()
 
     async def _turn_away(self, line: Line) -> None:
         """What it sends is swallowed briefly, or a reset would eat the answer; a few at a time, as each takes
@@ -163,13 +195,11 @@
         line.drop()
 
     def _make_room(self) -> bool:
-        """Against silent connections keeping out those that ask: the one idle for longest goes."""
-        idle = min((intake for intake in self.clients if intake.idle_since),
-                   key=lambda intake: (intake.served, intake.idle_since), default=None)
-        if idle is None:
-            return False
-        self.clients[idle].cancel()
-        return True
+        """Against silent connections keeping out those that ask: the one idle for longest goes, or one that
+        has sent half a head."""
+        idle = sorted((intake for intake in self.clients if intake.idle_since),
+                      key=lambda intake: (intake.served, intake.idle_since))
+        return any(intake.end_wait() for intake in idle) or any(intake.end_wait(True) for intake in idle)
 
     def _working(self, change: int) -> None:
         self.busy += change
--- /dev/null
+++ b/tests/test_rare.py
@@ -0,0 +1,625 @@
+"""Moments that come once in a thousand days, each made to happen: the real node on loopback, the order of its
+peers' doings forced by the test. docs/design/rare.md names the place and the bad order of each."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import signal
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, cast
+
+import pytest
+from msgspec.structs import replace
+
+from runspool.decisions.interface import Ending
+from runspool.engines.connections import Address
+from runspool.engines.endings import Mishap
+from runspool.engines.exchange import Barred, Ended
+from runspool.node import catalog as node_catalog
+from runspool.node import running as node_running
+from runspool.node.asks import Ask
+from runspool.node.intake import Intake
+from runspool.node.node import Held, Node
+from runspool.node.running import Running
+from runspool.sockets.lines import Line, dial
+from runspool.units import tenths
+from tests.platform import (
+    BODY,
+    EVENTS,
+    READ,
+    SETTINGS,
+    STREAM,
+    WAIT,
+    Client,
+    Platform,
+    Request,
+    chunked,
+    post,
+    request_of,
+    says,
+    silent,
+    whole,
+)
+
+pytestmark = pytest.mark.anyio
+PAIR = {"r": "prefill", "w": "decode"}
+
+
+def changed(change: Callable[[dict[str, Any]], None]) -> dict[str, Any]:
+    """The settings with a change."""
+    settings = copy.deepcopy(SETTINGS)
+    change(settings)
+    return settings
+
+
+def hard_limit(milliseconds: int) -> dict[str, Any]:
+    def change(settings: dict[str, Any]) -> None:
+        for row in settings["classes"]:
+            row["deadline-us"] = milliseconds * 1000
+    return changed(change)
+
+
+async def kept(platform: Platform, running: Running) -> tuple[Client, Intake]:
+    """A client that has been served and keeps its connection, and the node's end of that."""
+    client = await platform.client()
+    client.send(post("q0"))
+    assert (await client.answer()).whole
+    intake, = running.clients
+    await until_idle(intake)
+    return client, intake
+
+
+async def until_idle(intake: Intake) -> None:
+    """A loop's round or two after an answer is out, its connection waits for the next request."""
+    for _ in range(1_000):
+        if intake.idle_since:
+            return
+        await asyncio.sleep(0)
+    raise AssertionError("the connection never waits for another request")
+
+
+async def until_begun(intake: Intake) -> None:
+    async with asyncio.timeout(WAIT):
+        while not intake.requests.ready:
+            await asyncio.sleep(0)
+
+
+# Stop.
+
+
+async def test_at_a_stop_with_short_hard_limits_what_still_comes_is_served(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    # So long that a slow machine cannot be late for it; where only hard limits count it is no time at all.
+    monkeypatch.setattr(node_running, "STILL_COME", 10 * 10_000, raising=False)
+    platform = Platform(tmp_path, PAIR)
+    platform.settings = hard_limit(600)
+    async with platform.inside() as running:
+        client, _ = await kept(platform, running)
+        running.stop()
+        await asyncio.sleep(0)
+        # Before the kill there is time enough for it.
+        for one in (client, await platform.client()):
+            one.send(post(f"s{id(one)}", req_deadline="600m"))
+            assert (await one.answer()).whole
+            assert not running.node.closing
+
+
+@pytest.mark.parametrize("moved", [True, False])
+async def test_a_stop_takes_late_requests_only_where_streams_can_be_moved(
+        moved: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """What comes 0.7 s after SIGTERM and still streams at the kill is lost, unless it can be moved."""
+    monkeypatch.setattr(node_running, "STILL_COME", 0)
+    monkeypatch.setattr(node_running, "LAST_TAKEN", -60 * 10_000)  # as if there were a minute to the last
+    platform = Platform(tmp_path, PAIR)
+    platform.settings = changed(lambda said: said["family-info"].update(resume=moved))
+    async with platform.inside() as running:
+        running.stop()
+        async with asyncio.timeout(WAIT):
+            while not running.node.leaves_by:
+                await asyncio.sleep(0.001)
+        for _ in range(20):  # rounds of the loop, in which nothing but the stop has anything to do
+            await asyncio.sleep(0)
+        assert running.node.closing is not moved
+
+
+async def test_a_request_that_comes_as_its_connection_gives_way_is_served(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        client, intake = await kept(platform, running)
+        received, gave_way = intake.line.data_received, []
+
+        def comes(data: bytes) -> None:
+            received(data)  # the connection's task is woken, and has not run
+            gave_way.append(running._make_room())
+
+        intake.line.data_received = comes  # type: ignore[method-assign]
+        client.send(post("q1"))
+        assert (await client.answer()).whole
+        assert gave_way == [False]
+
+
+async def test_a_request_that_only_the_kernel_has_is_served_by_its_connection(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        client, _ = await kept(platform, running)
+        client.send(post("q1"))  # to the kernel, at once
+        assert not running._make_room()  # no loop's round since: nobody here has read it
+        assert (await client.answer()).whole
+
+
+async def test_half_a_head_keeps_its_connection_from_a_stop_and_not_from_who_asks(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        client, intake = await kept(platform, running)
+        client.send(post("q1")[:50])
+        await until_begun(intake)
+        assert not intake.end_wait()
+        client.send(post("q1")[50:])
+        assert (await client.answer()).whole
+        await until_idle(intake)
+        client.send(post("q2")[:50])
+        await until_begun(intake)
+        assert running._make_room()
+        assert (await client.answer()).status == 408
+
+
+async def test_hard_limits_beyond_the_kill_are_answered_and_let_go_before_it(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(node_running, "LONGEST_COUNTED", 1_000)  # a stop of 0.3 s in place of 3.2
+    platform = Platform(tmp_path, PAIR)
+    platform.settings = hard_limit(60_000)
+    platform.engines["r"].scripts = [silent]
+    async with platform.inside() as running:
+        client = await platform.client()
+        client.send(post("q1", req_deadline="60000m"))
+        await platform.until(lambda: len(platform.shots("q1")) == 1)
+        running.stop()
+        assert (await client.answer()).status == 500
+        await platform.until(lambda: len(platform.let_go("q1")) == 1)
+        await asyncio.wait_for(platform.run, WAIT)
+
+
+# The list.
+
+
+async def test_a_start_asks_for_the_list_before_it_takes_anything(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR | {"s": "prefill"})
+    platform.states["s"] = "leaving"  # as the agent has it from the first moment
+    platform.list_gate.clear()
+    async with platform.inside(wait=False) as running:
+        # What this node had in an earlier life is still without the drain.
+        running.node.engines_changed(running.node.following.recalled(
+            [replace(entry, state="on") for entry in running.posting.known.engines]))
+        await platform.until(lambda: bool(platform.lists))
+        client = await platform.client()
+        for at in range(6):
+            client.send(post(f"q{at}"))
+            if not at:
+                platform.list_gate.set()
+            assert (await client.answer()).whole
+            assert [shot.engine for shot in platform.shots(f"q{at}")] == ["r", "w"]
+
+
+async def test_a_start_with_a_silent_agent_serves_on_the_last_list(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(node_running, "FIRST_LIST", 0.05)
+    platform = Platform(tmp_path, PAIR)
+    platform.list_gate.clear()
+    async with platform.inside():
+        assert (await platform.ask(post("q1"))).whole
+
+
+async def test_a_reset_watch_is_opened_anew_without_a_rest(tmp_path: Path,
+                                                            monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(node_catalog, "RETRY", 600.0)
+    platform = Platform(tmp_path, PAIR | {"s": "prefill"})
+    async with platform.inside() as running:
+        await platform.until(lambda: any("after=" in one for one in platform.lists))
+        # It has stood for as long as two tries lie apart.
+        running.catalog.began -= tenths(600_000)
+        platform.states["s"], platform.version = "leaving", 2  # told while no watch is open
+        for task in list(platform.tasks):
+            task.cancel()
+        await platform.until(lambda: any("after=2" in one for one in platform.lists))
+        assert running.node.lines["s"].state == "draining"
+
+
+async def test_an_agent_that_never_answers_what_it_was_asked_in_an_outage_is_asked_anew(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(node_catalog, "GRACE_MS", 600_000)  # no try runs out: another is begun beside it
+    platform = Platform(tmp_path, PAIR | {"s": "prefill"})
+    async with platform.inside() as running:
+        await platform.until(lambda: any("after=" in one for one in platform.lists))
+        platform.states["s"], platform.version = "leaving", 2
+        platform.list_scripts = [None, None]
+        for task in list(platform.tasks):
+            task.cancel()
+        await platform.until(lambda: any("after=2" in one for one in platform.lists))
+        assert running.node.lines["s"].state == "draining"
+        assert len(running.catalog.pool.open) == 1 and sum(running.catalog.pool.open.values()) == 1
+
+
+async def test_silence_is_known_and_asked_into_within_what_the_platform_allows() -> None:
+    known = node_catalog.WAIT_MS + node_catalog.GRACE_MS
+    assert known + 2 * 1000 * node_catalog.RETRY < 2_000  # an outage lasts some seconds
+    assert 2 * 1000 * node_catalog.RETRY <= 250  # a drain's grace, from the agent's return on
+
+
+@pytest.mark.parametrize("trouble", [
+    b"[" * 100_000, b'{"index":7,"snapshot":true,"endpoints":' + b"[" * 5_000,
+    b'{"index":7,"snapshot":false,"endpoints":[]}'])
+async def test_a_list_nested_too_deep_or_half_ends_nothing(trouble: bytes, tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    platform.list_scripts = [trouble]
+    async with platform.inside():
+        await platform.until(lambda: any("after=" in one for one in platform.lists))
+        assert (await platform.ask(post("q1"))).whole
+
+
+async def test_a_configuration_that_is_half_written_is_looked_at_again(tmp_path: Path) -> None:
+    async with Platform(tmp_path, PAIR).open() as platform:
+        other = Platform(tmp_path, {})
+        async with other.agent() as port:
+            file = platform.write_config(discovery=f"127.0.0.1:{port}")
+            written = file.read_bytes()
+            file.write_bytes(written[:100])
+            platform.signal(signal.SIGHUP)
+            await platform.logged("posting_unusable")
+            file.write_bytes(written)
+            await other.until(lambda: bool(other.lists))
+
+
+# Faults.
+
+
+async def test_a_fault_in_a_standing_task_ends_nothing(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        faults = []
+
+        def fails(*said: Any) -> None:
+            faults.append(said)
+            raise RuntimeError("a fault of the program")
+
+        sound = running.node.timers.ring, running.catalog.hearer.hear
+        running.node.timers.ring = fails
+        running.catalog.hearer.hear = fails  # type: ignore[method-assign, assignment]
+        running.node.timers.at(0, "0.0@node")
+        platform.tell()
+        running.node.calls.vigil.watch(0, fails).since = 1
+        async with asyncio.timeout(WAIT):
+            while len(faults) < 3:
+                await asyncio.sleep(0.001)
+        running.node.timers.ring = sound[0]
+        running.catalog.hearer.hear = sound[1]  # type: ignore[method-assign]
+        assert (await platform.ask(post("q1"))).whole
+        assert not platform.run.done()
+
+
+async def test_a_fault_after_a_shot_ends_its_query_alone(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        node, over = running.node, running.node.shot_over
+
+        def fails(taken: Held, *said: Any) -> None:
+            if taken.id == "bad":
+                raise RuntimeError("a fault of the program")
+            over(taken, *said)
+
+        node.shot_over = fails  # type: ignore[method-assign, assignment]
+        assert (await platform.ask(post("bad"))).status == 500
+        assert (await platform.ask(post("q1"))).whole
+        assert not node.queries and not platform.run.done()
+
+
+# Clients that go. Nothing is sent on for them, and nothing of theirs stays held.
+
+
+async def nothing_held(node: Node) -> None:
+    async with asyncio.timeout(WAIT):
+        while node.queries or node.releasing:
+            await asyncio.sleep(0.001)
+
+
+async def settled(platform: Platform, node: Node, name: str, shots: int) -> None:
+    """After its client has gone: all is let go, and what could be sent now is not."""
+    await nothing_held(node)
+    platform.tell(**dict.fromkeys(platform.states, "active"))
+    await until_listed(node, "on")
+    assert (await platform.ask(post(f"after-{name}"))).whole  # whatever waited would have gone with it
+    assert len(platform.shots(name)) == shots
+    assert not node.calls.pool.open or sum(map(len, node.calls.pool.idle.values())) == sum(
+        node.calls.pool.open.values())
+
+
+async def until_listed(node: Node, state: str, *names: str) -> None:
+    async with asyncio.timeout(WAIT):
+        while any(node.lines[name].state != state for name in names or node.lines):
+            await asyncio.sleep(0.001)
+
+
+@pytest.mark.parametrize("ahead", [0, 400_000])
+async def test_a_client_that_goes_while_its_query_is_read_is_let_go(ahead: int, tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        platform.engines["r"].scripts = [silent]
+        client = await platform.client()
+        client.send(post("q1"))
+        await platform.until(lambda: len(platform.shots("q1")) == 1)
+        # More than the node keeps and its kernel holds: the end behind it would never come through.
+        client.send(b"x" * ahead)
+        if ahead:
+            await asyncio.wait_for(client.writer.drain(), WAIT)
+        client.writer.close()
+        await platform.until(lambda: len(platform.let_go("q1")) == 1)
+        await settled(platform, running.node, "q1", 1)
+
+
+async def test_a_client_that_goes_while_it_waits_in_line_is_not_sent_on(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        platform.tell(r="leaving")
+        await until_listed(running.node, "draining", "r")
+        client = await platform.client()
+        client.send(post("q1"))
+        async with asyncio.timeout(WAIT):
+            while not running.node.queries:
+                await asyncio.sleep(0.001)
+        client.close()
+        await settled(platform, running.node, "q1", 0)
+
+
+async def test_a_client_that_goes_between_reader_and_writer_is_let_go(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    platform.settings = changed(lambda said: said["family-info"].update({"release-within-us": 60_000_000}))
+    async with platform.inside() as running:
+        platform.tell(w="leaving")
+        await until_listed(running.node, "draining", "w")
+        platform.tell(w="active")
+        go = asyncio.Event()
+
+        async def reads(asked: Request) -> None:
+            await go.wait()
+            await asked.say(READ)
+
+        await until_listed(running.node, "on", "w")
+        platform.engines["r"].scripts = [reads]
+        client = await platform.client()
+        client.send(post("q1"))
+        await platform.until(lambda: len(platform.shots("q1")) == 1)
+        platform.tell(w="leaving")
+        await until_listed(running.node, "draining", "w")
+        go.set()
+        async with asyncio.timeout(WAIT):
+            while not any(taken.state_at for taken in running.node.queries.values()):
+                await asyncio.sleep(0.001)
+        client.close()
+        await platform.until(lambda: len(platform.let_go("q1")) == 1)
+        await settled(platform, running.node, "q1", 1)
+
+
+async def test_a_client_that_goes_while_its_shot_is_dialling_is_not_sent_on(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    dialling, go = asyncio.Event(), asyncio.Event()
+
+    async def dials(address: tuple[str, int], source: str | None) -> Line:
+        if not go.is_set():
+            dialling.set()
+            await go.wait()
+        return await dial(address, source)
+
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        monkeypatch.setattr("runspool.engines.connections.dial", dials)
+        client = await platform.client()
+        client.send(post("q1"))
+        await asyncio.wait_for(dialling.wait(), WAIT)
+        client.close()
+        async with asyncio.timeout(WAIT):
+            while any(taken.final is None for taken in running.node.queries.values()):
+                await asyncio.sleep(0.001)
+        go.set()
+        await settled(platform, running.node, "q1", 0)
+
+
+async def test_who_sends_much_ahead_and_stays_is_answered(tmp_path: Path) -> None:
+    go = asyncio.Event()
+
+    async def reads(asked: Request) -> None:
+        await go.wait()
+        await asked.say(READ)
+
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        platform.engines["r"].scripts = [reads]
+        client = await platform.client()
+        client.send(post("q1"))
+        await platform.until(lambda: len(platform.shots("q1")) == 1)
+        client.send(b"x" * 400_000)
+        await asyncio.wait_for(client.writer.drain(), WAIT)
+        intake, = running.clients
+        async with asyncio.timeout(WAIT):
+            while not intake.line.shed:
+                await asyncio.sleep(0.001)
+        go.set()
+        answer = await client.answer()
+        assert answer.whole and answer.headers["connection"] == "close"
+
+
+# Engines.
+
+
+async def test_a_second_answer_that_comes_late_is_not_taken_for_the_next_querys(tmp_path: Path) -> None:
+    async def twice(asked: Request) -> None:
+        await asked.say(READ)
+        await request_of(asked.reader)
+        await asked.say(READ)  # the first one's, again: this request is not read yet
+        await asked.closed()
+
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        running.node.calls.pool.rest = 600_000  # whatever the machine's speed, the link has just been used
+        platform.engines["r"].scripts = [twice]
+        assert (await platform.ask(post("q1"))).whole
+        assert (await platform.ask(post("q2"))).whole
+        # Had it been taken, the state would have been fetched from a reader that never had it.
+        assert [shot.engine for shot in platform.shots("q2")] == ["r", "w"]
+
+
+async def test_a_link_just_used_waits_its_rest_where_no_other_can_be_had(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        pool = running.node.calls.pool
+        assert (await platform.ask(post("q1"))).whole
+        looks: list[float] = []
+        for waiting in pool.idle.values():
+            for link in waiting:
+                silent_for = link.line.silent_for
+
+                async def looked(seconds: float, silent_for: Any = silent_for) -> bool:
+                    looks.append(seconds)
+                    return bool(await silent_for(0))
+
+                link.line.silent_for = looked  # type: ignore[method-assign]
+        pool.rest, pool.most = 600_000, sum(pool.open.values())
+        assert (await platform.ask(post("q2"))).whole
+        assert len(looks) == 2 and min(looks) > 30
+
+
+@pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n", b"\r\r"])
+async def test_events_go_on_one_by_one_whatever_ends_their_lines(end: bytes, tmp_path: Path) -> None:
+    events = [event.replace(b"\n\n", end) for event in EVENTS]
+    passed = [asyncio.Event() for _ in events]
+
+    async def one_by_one(asked: Request) -> None:
+        await asked.say(STREAM)
+        for event, seen in zip(events, passed, strict=True):
+            await asked.say(chunked(event))
+            await asyncio.wait_for(seen.wait(), WAIT)  # the next only once its client has this one
+        await asked.say(b"0\r\n\r\n")
+
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside():
+        platform.engines["w"].scripts = [one_by_one]
+        client = await platform.client()
+        client.send(post("q1"))
+        answer = await client.head()
+        for event, seen in zip(events, passed, strict=True):
+            assert await client.chunk() == event
+            seen.set()
+        assert (await client.rest(answer)).whole
+
+
+BAD = {"no json": chunked(EVENTS[1] + b"data: {oops\n\n"), "deep": chunked(EVENTS[1] + b'data: {"choices":'
+       + b"[" * 20_000 + b"\n\n"), "bad size": chunked(EVENTS[1]) + b"zz\r\n"}
+
+
+@pytest.mark.parametrize("how", BAD)
+async def test_good_events_ahead_of_a_bad_one_are_passed_on(how: str, tmp_path: Path) -> None:
+    seen = asyncio.Event()
+
+    async def spoils(asked: Request) -> None:
+        await asked.say(STREAM + chunked(EVENTS[0]))
+        await asyncio.wait_for(seen.wait(), WAIT)
+        await asked.say(BAD[how])
+        await asked.closed()
+
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside():
+        platform.engines["w"].scripts = [spoils]
+        client = await platform.client()
+        client.send(post("q1"))
+        answer = await client.head()
+        assert await client.chunk() == EVENTS[0]
+        seen.set()
+        answer = await client.rest(answer)
+        assert (answer.body, answer.whole) == (EVENTS[1], False)
+
+
+@pytest.mark.parametrize("where", ["body", "event", "read"])
+async def test_json_nested_a_hundred_thousand_deep_ends_at_most_its_query(where: str, tmp_path: Path) -> None:
+    deep = b'{"a":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        scripts = {"event": ("w", STREAM + chunked(b'data: {"choices":' + b"[" * 20_000 + b"\n\n")),
+                   "read": ("r", whole(202, deep[:30_000]))}
+        if where in scripts:
+            engine, data = scripts[where]
+            platform.engines[engine].scripts = [says(data)]
+        answer = await platform.ask(post("q1", "book", body=deep if where == "body" else BODY))
+        assert answer.status == {"body": 400, "event": 500, "read": 200}[where]
+        assert (await platform.ask(post("q2"))).whole
+        assert not platform.run.done() and not running.node.queries
+
+
+async def test_writers_to_which_no_connection_comes_up_do_not_pin_a_state(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def dials(address: tuple[str, int], source: str | None) -> Line:
+        if any(engine.port == address[1] for name, engine in platform.engines.items() if name != "r"):
+            await asyncio.sleep(WAIT)  # its packets go nowhere
+        return await dial(address, source)
+
+    platform = Platform(tmp_path, {"r": "prefill"} | {f"w{at}": "decode" for at in range(6)})
+    monkeypatch.setattr("runspool.engines.connections.dial", dials)
+    monkeypatch.setattr("runspool.decisions.rules.RETRY", 20_000)  # no read before it has been let go
+    async with platform.inside() as running:
+        client = await platform.client()
+        client.send(post("q1"))
+        await platform.until(lambda: len(platform.let_go("q1")) == 1)
+        # 300 ms are granted for the state, and each connection is waited for for 250.
+        assert 1 <= running.node.counts["shot_unreachable"] <= 2
+
+
+async def test_a_state_is_let_go_at_the_first_engine_that_can_be_reached(tmp_path: Path) -> None:
+    """Cut off from all but the last of twelve, none of which it has spoken to before."""
+    names = {"r": "prefill"} | {f"w{at}": "decode" for at in range(12)}
+    platform = Platform(tmp_path, names)
+    async with platform.inside() as running:
+        node = running.node
+        sites, over = {site.name: site for site in node.sites.values()}, asyncio.Event()
+        asked: list[Address] = []
+
+        async def release(address: Address, request: str, limit: int) -> Mishap | None:
+            asked.append(address)
+            if len(asked) <= 12:
+                return Mishap.REFUSED
+            over.set()
+            return None
+
+        node.calls.release = release  # type: ignore[method-assign]
+        held = Held(0, "q1", 0, 0, cast(Any, None), ask=cast(Any, None))
+        node.spawn_release(node._let_go, held, sites["r"])
+        await asyncio.wait_for(over.wait(), WAIT)
+        assert len(set(asked)) == 13
+
+
+async def test_each_call_that_lets_go_is_stopped_by_the_next_shot(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        node, begun = running.node, 0
+
+        async def release(address: Address, request: str, limit: int) -> Mishap | None:
+            nonlocal begun
+            begun += 1
+            await asyncio.sleep(WAIT)
+            return None
+
+        async def read(address: Address, ask: Ask, limit: int, out: Barred) -> Ended:
+            assert begun == 2 and node.releasing == 2  # while it connects, they go on
+            out()
+            return Ended(Ending.READ)
+
+        node.calls.release = release  # type: ignore[method-assign]
+        node.calls.read = read  # type: ignore[method-assign, assignment]
+        site = next(site for site in node.sites.values() if site.name == "r")
+        held = Held(0, "q1", 0, 0, cast(Any, None), ask=cast(Any, None))
+        for _ in range(2):
+            node.spawn_release(node._let_go, held, site)
+        async with asyncio.timeout(WAIT):
+            while begun < 2:
+                await asyncio.sleep(0.001)
+            await node.speak(held, site, 1, 0, 0, lambda: False)
+            while node.releasing:
+                await asyncio.sleep(0.001)
