A negative time in the settings is named, and every setting is tried out of its range

Seen by a test that puts nine values (absent, null, 0, 1, -1, 10^14, a text, a list, an object) at each of the 74 places of the settings: a negative release-within-us let no state go (release_failed on each); all others were named or served, none crashed.

At fault: granted.py, Part.time(): any number was taken for a time.

Change: a time below 0 is an error that names its key. The test asks one query on each and begins a stop.

--- a/runspool/front/granted.py
+++ b/runspool/front/granted.py
@@ -68,7 +68,10 @@
 
     def time(self, key: str, absent: int = 0) -> int:
         """Told in microseconds, in tenths of a millisecond here."""
-        return int(self.number(key, absent)) // UNIT_US
+        told = self.number(key, absent)
+        if told < 0:
+            raise Unfit(f"{self.of(key)}: {told:.0f} is no time")
+        return int(told) // UNIT_US
 
     def flag(self, key: str) -> bool:
         return bool(self.said.get(key, False))
--- a/tests/test_rare.py
+++ b/tests/test_rare.py
@@ -11,6 +11,7 @@
 from typing import Any, cast
 
 import pytest
+from structlog.testing import capture_logs
 from msgspec.structs import replace
 
 from runspool.decisions.interface import Ending
@@ -22,6 +23,7 @@
 from runspool.node.asks import Ask
 from runspool.node.intake import Intake
 from runspool.node.node import Held, Node
+from runspool.node.posting import BadPosting
 from runspool.node.running import Running
 from runspool.sockets.lines import Line, dial
 from runspool.units import tenths
@@ -230,7 +232,7 @@
         # It has stood for as long as two tries lie apart.
         monkeypatch.setattr(running.catalog, "began", -tenths(600_000), raising=False)
         await cut_off(platform)
-        platform.states["s"], platform.version = "leaving", 2  # told while no watch is open
+        platform.tell(s="leaving")  # told while no watch is open
         await platform.until(lambda: any("after=2" in one for one in platform.lists))
         assert running.node.lines["s"].state == "draining"
 
@@ -242,8 +244,8 @@
     async with platform.inside() as running:
         await platform.until(lambda: any("after=" in one for one in platform.lists))
         await cut_off(platform)
-        platform.states["s"], platform.version = "leaving", 2
         platform.list_scripts = [None, None]
+        platform.tell(s="leaving")
         await platform.until(lambda: any("after=2" in one for one in platform.lists))
         assert running.node.lines["s"].state == "draining"
         assert len(running.catalog.pool.open) == 1 and sum(running.catalog.pool.open.values()) == 1
@@ -632,3 +634,51 @@
             await node.speak(held, site, 1, 0, 0, lambda: False)
             while node.releasing:
                 await asyncio.sleep(0.001)
+
+
+# Settings of another house.
+
+
+def paths(said: Any, at: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
+    """Where each value stands in the settings, objects and lists among them."""
+    inner = said.items() if isinstance(said, dict) else enumerate(said) if isinstance(said, list) else ()
+    return ([at] if at else []) + [path for key, value in inner for path in paths(value, (*at, key))]
+
+
+ABSENT = object()
+
+
+def put(said: Any, path: tuple[Any, ...], value: Any) -> Any:
+    """The settings with another value at a place, or none."""
+    said = copy.deepcopy(said)
+    inner = said
+    for key in path[:-1]:
+        inner = inner[key]
+    if value is ABSENT:
+        del inner[path[-1]]
+    else:
+        inner[path[-1]] = value
+    return said
+
+
+@pytest.mark.parametrize("path", paths(SETTINGS), ids=lambda path: ".".join(map(str, path)))
+async def test_any_setting_absent_null_zero_or_extreme_is_named_or_served(
+        path: tuple[Any, ...], tmp_path: Path) -> None:
+    for value in (ABSENT, None, 0, 1, -1, 10 ** 14, "odd", [], {}):
+        platform = Platform(tmp_path, PAIR)
+        platform.settings = put(SETTINGS, path, value)
+        with capture_logs() as logged:
+            try:
+                async with platform.inside() as running:
+                    answer = await platform.ask(post("q1", req_deadline="700m"))
+                    assert answer.status in (200, 400, 500, 503) and answer.whole
+                    running.stop()
+                    async with asyncio.timeout(WAIT):
+                        while not running.node.leaves_by:
+                            await asyncio.sleep(0.001)
+                    assert not platform.run.done(), value
+            except BadPosting as fault:
+                named = [str(key) for key in path if isinstance(key, str)]
+                assert any(name in str(fault) for name in named), (value, str(fault))
+        failed = [line["event"] for line in logged if line["event"].endswith(("_failed", "_by_guard"))]
+        assert not failed, (value, failed)
