--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -49,6 +49,7 @@
         self.fleet = fleet
         self.queries: list[Query] = []
         self.came: list[int] = []
+        self.answered: set[int] = set()  # in time or late
         self.shots: Counter[int] = Counter()
         self.desk = Desk(house, me, self, fleet.now)
         self.desk.roster(fleet.now, Roster(True, fleet.lines))
@@ -69,6 +70,7 @@
             self.desk.closed(fleet.now, query, shot, Outcome(ending, fleet.now - at, kept), over)
 
         def begun() -> None:
+            self.answered.add(query)
             if fleet.now - self.came[query] <= DUE:
                 fleet.served[self.came[query] // WINDOW] += 1
             self.desk.begun(fleet.now, query, shot, fleet.now - at)
@@ -147,3 +149,7 @@
             self.now, _, act = heapq.heappop(self.heap)
             act()
         return [self.served[w] / max(1, self.offered[w]) for w in range(len(rates) + 2)]
+
+    def asked(self) -> list[tuple[Query, bool]]:
+        """All queries, and whether each was answered."""
+        return [(q, q.index in front.answered) for front in self.fronts for q in front.queries]
