A shot whose client goes as its dial ends is not sent

Seen by a test, on both loops: a client that leaves in the moment in which a connection to an engine comes up has its query sent all the same, as the cancelled shot runs on to its next wait, and there is none between the dial's end and the last byte.

Ruled out by the same test: a connection left open or counted for ever by a cancel in that moment.

At fault: node.py, speak(): the last look before the last byte asked only for the list.

Change: it asks for the query's final answer too. The test fails without it.

--- a/runspool/node/node.py
+++ b/runspool/node/node.py
@@ -112,7 +112,8 @@
             for call in taken.letting_go:
                 call.cancel()
                 taken.maybe_read = taken.maybe_read or site
-            return barred()
+            # A cancelled shot runs on to its next wait, and between the dial's end and the last byte is none.
+            return taken.final is not None or barred()
 
         if site.role is Role.READER:
             return await self.calls.read(site.address, taken.ask, limit, out)
--- a/tests/test_rare.py
+++ b/tests/test_rare.py
@@ -435,6 +435,26 @@
         await settled(platform, running.node, "q1", 0)
 
 
+@pytest.mark.parametrize("anyio_backend", [("asyncio", {"use_uvloop": uvloop}) for uvloop in (False, True)],
+                         ids=["asyncio", "uvloop"])
+async def test_a_client_that_goes_as_its_dial_ends_is_not_sent_on_and_leaves_no_connection(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def dials(address: tuple[str, int], source: str | None) -> Line:
+        line = await dial(address, source)
+        for taken in list(running.node.queries.values()):
+            if taken.id == "q1":
+                running.node.left(taken)
+        return line
+
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        monkeypatch.setattr("runspool.engines.connections.dial", dials)
+        client = await platform.client()
+        client.send(post("q1"))
+        assert await client.end() == b""
+        await settled(platform, running.node, "q1", 0)
+
+
 async def test_who_sends_much_ahead_and_stays_is_answered(tmp_path: Path) -> None:
     go = asyncio.Event()
 
