A stop gives a new connection a quarter of a second for its first request

By reading, then by a test: since a stop ends idle connections again and again, one accepted after that was closed at once, its first request on the way: a request that nobody has answered.

At fault: running.py, _nothing_held(): new connections counted as idle from their first moment.

Change: 250 ms for a connection that has asked nothing yet. The test fails without it.

--- a/runspool/node/running.py
+++ b/runspool/node/running.py
@@ -30,6 +30,7 @@
 KILL_MARGIN = 5_000  # before that, by when nothing may be held any more
 LAST_TAKEN = 8_000  # and before that again, so that what is taken last can still be answered
 STILL_COME = 5_000  # after SIGTERM, for so long at least: new connections come for up to 400 ms
+FIRST_GIVEN = 2_500  # that a new connection has for its first request before a stop closes it
 LIST_BYTES = 16 << 20
 LOOK_AGAIN, LOOK_REST = 30_000, 0.25  # how long, and each how many seconds, a bad posting is looked at again
 FIRST_LIST = 1.5  # seconds that a start waits for a first whole list, against an agent that is silent
@@ -163,7 +164,9 @@
         while True:
             # Those whose request has come in this moment are served first, and leave by themselves.
             for intake in list(self.clients):
-                intake.end_wait()
+                # A new connection's first request is a moment behind it: closed then, nobody has answered it.
+                if not intake.first or now() - intake.idle_since > FIRST_GIVEN:
+                    intake.end_wait()
             if not (self.busy or self.clients or self.node.queries or self.node.releasing):
                 return
             await anyio.sleep(0.02)
--- a/tests/test_rare.py
+++ b/tests/test_rare.py
@@ -183,6 +183,26 @@
         await asyncio.wait_for(platform.run, WAIT)
 
 
+async def test_a_new_connection_is_given_a_moment_by_a_stop_and_a_served_one_none(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(node_running, "STILL_COME", 0)
+    monkeypatch.setattr(node_running, "LAST_TAKEN", 600_000)
+    monkeypatch.setattr(node_running, "FIRST_GIVEN", 600_000, raising=False)
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        served, _ = await kept(platform, running)
+        new = await platform.client()
+        async with asyncio.timeout(WAIT):
+            while len(running.clients) < 2:
+                await asyncio.sleep(0.001)
+        running.stop()
+        assert await served.end() == b""  # by then the new one has been passed over as well
+        new.send(post("q1"))
+        answer = await new.answer()
+        assert (answer.status, answer.headers["connection"]) == (503, "close")
+        await asyncio.wait_for(platform.run, WAIT)
+
+
 # The list.
 
 
