No further writer is dialled that could outlast a state's time

At fault: rules.py, serve(): the time was looked at as if the next dial took none.

Change: after a shot that never reached its engine the next is taken to last as long; where that would outlast the state's time, the state is let go first. A refused connection takes no time and costs none.

Beside it: a connection that rests is no longer looked at in the kernel at each pick, one call less for each.

--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -169,7 +169,7 @@
         # Gain brings a query forward; time spent waiting does too, so that no tariff starves.
         place = (over, self.now + int((due - self.now) * (not q.again) / max(row.terms.gain, 0.1)), q.index)
         state: Engine | None = None
-        held = shots = ran_at = 0  # held: since when the state waits
+        held = shots = ran_at = missed = 0  # held: since when the state waits; missed: time lost on dials
         hold = self.terms.release_within or q.budget  # none granted: it may wait as long as its query
         hold -= min(MARGIN, hold // 2)
         spent = False  # a read was given up or turned away: another is on the budget of repeats
@@ -178,8 +178,9 @@
         while not q.over and shots < self.terms.max_shots and self.now < limit:
             if ran and (exclusive or (ticketed and self.now >= ran_at + row.terms.window)):
                 break
-            # Against a state pinned by one writer after the other to which no connection comes up.
-            if state and self.now >= held + hold:
+            # Against a state pinned by one writer after the other to which no connection comes up: the next
+            # may take as long as the last, and the call that lets go its time too.
+            if state and self.now + missed >= held + hold:
                 yield Release()
                 state = None
                 yield Wait(min(self.now + RETRY, limit))  # else a read sent at once would overtake it
@@ -239,12 +240,13 @@
                 self.streamed(q, engine, (yield Listen()))
                 return
             if out.ending is Ending.READ:
-                state, held, failed = engine, self.now, []
+                state, held, failed, missed = engine, self.now, [], 0
                 self.repeats = min(MOST_REPEATS, self.repeats + REPEATS)
             elif out.ending is Ending.STATELESS:
                 state = None
             elif out.ending is not Ending.SUCCEEDED:
-                held = held if out.ending in NEVER_SENT else self.now
+                never_sent = out.ending in NEVER_SENT
+                missed, held = (out.took, held) if never_sent else (0, self.now)
                 failed.append(engine.id)
                 spent = not state and not q.again and out.ending in (Ending.OVERDUE, Ending.FULL)
             if effect and not ran and out.ending not in NEVER_RAN:
--- a/runspool/engines/connections.py
+++ b/runspool/engines/connections.py
@@ -82,15 +82,20 @@
             while waiting:
                 link = waiting.pop()
                 age = self.now() - link.idle_since
-                if link.spoke() or age >= self.terms.idle_ms * TENTHS:
-                    self.drop(link)
-                elif age < self.rest:
+                if age < self.rest:
                     young.append(link)
+                elif link.spoke() or age >= self.terms.idle_ms * TENTHS:
+                    self.drop(link)
                 else:
                     return link
             full = self.open.get(address, 0) >= self.terms.connections_each
-            if young and (full or (self.most and sum(self.open.values()) >= self.most)):
-                return young.pop()
+            if full or (self.most and sum(self.open.values()) >= self.most):
+                while young:
+                    link = young.pop()
+                    if not link.spoke():
+                        return link
+                    self.drop(link)
+                full = self.open.get(address, 0) >= self.terms.connections_each
         finally:
             if young and waiting is not None:
                 waiting.extend(reversed(young))
