Taking an idle connection reads as it goes: the rested ones, the young at the cap, a new one

Read again: take() popped links into a list of its own, put them back in a finally around code that cannot fail, and counted the caps twice each. Now the rested links are looked at where they stand, the newest first, then at a cap the young ones, the longest idle first; both caps stand in one place. Picks are the same, but that at a cap a young link past its idle time is closed too.

--- a/runspool/engines/connections.py
+++ b/runspool/engines/connections.py
@@ -76,32 +76,18 @@
 
         Raises Full past the cap, OSError or TimeoutError where none can be made; cancelled, leaves none open.
         """
-        waiting = self.idle.get(address)
-        young: list[Link] = []  # the newest first
-        try:
-            while waiting:
-                link = waiting.pop()
-                age = self.now() - link.idle_since
-                if age < self.rest:
-                    young.append(link)
-                elif link.spoke() or age >= self.terms.idle_ms * TENTHS:
-                    self.drop(link)
-                else:
+        waiting = self.idle.get(address, deque())
+        rested_since = self.now() - self.rest
+        for link in reversed([link for link in waiting if link.idle_since <= rested_since]):
+            if self._stands(link):
+                return link
+        if self._full(address):
+            while waiting:  # only younger ones by now, the longest idle first
+                if self._stands(link := waiting[0]):
                     return link
-            full = self.open.get(address, 0) >= self.terms.connections_each
-            if full or (self.most and sum(self.open.values()) >= self.most):
-                while young:
-                    link = young.pop()
-                    if not link.spoke():
-                        return link
-                    self.drop(link)
-                full = self.open.get(address, 0) >= self.terms.connections_each
-        finally:
-            if young and waiting is not None:
-                waiting.extend(reversed(young))
-        if full:
+        if self.open.get(address, 0) >= self.terms.connections_each:
             raise Full(f"{address[0]}:{address[1]}")
-        if self.most and sum(self.open.values()) >= self.most and not self._spare():
+        if self._full(address) and not self._spare():
             raise Full(f"all {self.most} connections to engines are in use")
         self.open[address] = self.open.get(address, 0) + 1
         began = self.now()
@@ -144,6 +130,19 @@
             while waiting:
                 self.drop(waiting.popleft())
 
+    def _stands(self, link: Link) -> bool:
+        """Takes an idle link; where it can serve no more it is closed, and False."""
+        self.idle[link.address].remove(link)
+        if not link.spoke() and self.now() - link.idle_since < self.terms.idle_ms * TENTHS:
+            return True
+        self.drop(link)
+        return False
+
+    def _full(self, address: Address) -> bool:
+        """True where a new link would pass the engine's cap or that of all together."""
+        return (self.open.get(address, 0) >= self.terms.connections_each
+                or 0 < self.most <= sum(self.open.values()))
+
     def _spare(self) -> bool:
         """Closes the link idle for longest, for one to another engine; False where none is idle."""
         idle = [waiting[0] for waiting in self.idle.values() if waiting]
