Mixed servers read where no own stream is, by a rate learned from what they read

Answers took a quarter of the pace allowed.

Faulty: pick_reader let a blind front (under one own stream a writer) take every mixed server for carrying; the design says "not known to carry streams, judged from own streams". And `ended` took the whole prompt as read when an answer began, also where most was cached: rates[MIXED] rose to 4 to 25 tokens a tenth of a millisecond (true: 3.3, first site 1.0), which on the first site sent reads there that took five times what was foreseen.

Change: own streams and reports decide; a mixed server's rate is learned at the end of an answer, when what was found cached is known.

--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -237,7 +237,7 @@
             out: Outcome = yield Shot(engine.id, cap)
             self.ended(q, engine, out, state)
             if out.ending is Ending.BEGUN:
-                self.streamed(q, engine, (yield Listen()))
+                self.streamed(q, engine, (yield Listen()), 0 if state else out.took)
                 return
             if out.ending is Ending.READ:
                 state, held, failed, missed = engine, self.now, [], 0
@@ -314,7 +314,7 @@
         mixed, row = self.pool(Role.MIXED), self.row(q)
         # A state that nobody can take would only be read to be let go.
         able = self.pool(Role.READER) if mixed or self.pool(Role.WRITER) else []
-        able += [e for e in mixed if not self.carries(e)]
+        able += [e for e in mixed if not e.streams and not self.reported_busy(e)]
         best = self.soonest(q, self.usable(q, able, failed, ran))
         if best and self.queue(best) + self.lag(best) <= 2 * line:
             return best
@@ -372,8 +372,11 @@
     def carries(self, e: Engine) -> bool:
         """With under one own stream a writer, none of mine at one says nothing of the other fronts' there."""
         self.survey()
+        return bool(e.streams) or self.terms.fronts > 1 > self.carried or self.reported_busy(e)
+
+    def reported_busy(self, e: Engine) -> bool:
         seen = self.fresh(e)
-        return bool(e.streams) or self.terms.fronts > 1 > self.carried or bool(seen and seen.in_flight)
+        return bool(seen and seen.in_flight)
 
     def fresh(self, e: Engine) -> Report | None:
         return e.report if e.report and self.now - e.reported < FRESH else None
@@ -567,10 +570,9 @@
                         row = self.row(q)
                         row.kept += (min(1.0, out.kept / max(1, q.prompt)) - row.kept) / 16
                     queue += max(1, q.prompt - out.kept) - tokens
-                # A rate is the best seen of late, as unseen waits only slow a read; what is over it is lag.
-                rate, seen = self.rates[e.role], max(1, queue) / max(1, out.took)
-                self.rates[e.role] = rate = max(seen, rate + (seen - rate) / 16, 0.01)
-                self.learn(e.lag, self.lags[e.role], max(0.0, out.took - queue / rate))
+                if out.ending is not Ending.BEGUN:
+                    self.paced(e, queue, out.took)
+                self.learn(e.lag, self.lags[e.role], max(0.0, out.took - queue / self.rates[e.role]))
                 self.keep(e, q)
             elif state and state.rack == e.rack:
                 self.learn(e.wait, self.waits[e.role], out.took)
@@ -591,16 +593,24 @@
         if out.ending is not Ending.BEGUN:
             e.tokens -= e.streams.pop(q.index, 0)
 
-    def streamed(self, q: Query, e: Engine, out: Outcome) -> None:
+    def streamed(self, q: Query, e: Engine, out: Outcome, read: int) -> None:
         e.report, e.reported = (out.report, self.now) if out.report else (e.report, e.reported)
         e.tokens -= e.streams.pop(q.index, 0)
         if out.ending is Ending.SUCCEEDED:
+            if read:
+                # Against taking a prompt found cached for one read fast: only the end of an answer tells.
+                self.paced(e, q.prompt - out.kept, read)
             row = self.row(q)
             tokens = q.likely_out or out.took / max(1, row.terms.pace)
             row.out = tokens if not row.out else row.out + (tokens - row.out) / 16
         elif out.ending is Ending.SEVERED:
             self.distrust(e)
 
+    def paced(self, e: Engine, tokens: int, took: int) -> None:
+        """A rate is the best seen of late, as unseen waits only slow a read; what is over it is lag."""
+        rate, seen = self.rates[e.role], max(1, tokens) / max(1, took)
+        self.rates[e.role] = max(seen, rate + (seen - rate) / 16, 0.01)
+
     def distrust(self, e: Engine) -> None:
         e.shunned, e.strikes = self.now + min(LONGEST_BACKOFF, BACKOFF << min(e.strikes, 10)), e.strikes + 1
 
