Mixed servers read beside unseen streams only while answers leave room in their pace

Where steps are slow and streams last, a read that nobody could see a stream against stops some twenty of them.

Change: where a front is blind, a mixed server reads only while the answers this front had from mixed servers took less than 0.4 of the time allowed for their tokens, by the clients' guess of these; with no guess, as before.

--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -44,6 +44,7 @@
 MARGIN = 15 * MILLI  # kept before the hard limit and before a held state must be let go
 LINE = 0.2  # of the shortest due time: behind a longer queue the hurried are late on the patient's account
 OVER_SHARE_LINE = 0.1
+PACE_ROOM = 0.4  # of the time allowed for their tokens: streams that take less can wait for reads
 PATIENCE = 0.6  # of the time to the due time: a first token foreseen later is not waited for
 BLIND_PATIENCE = 0.45  # the same where no own streams tell anything of the engines
 LATER_PATIENCE = 0.3  # of it, for a client's later try: part of its due time has gone before it came
@@ -130,6 +131,7 @@
         self.rates = dict.fromkeys(Role, FIRST_RATE)  # read rates
         self.lags = {role: Known() for role in Role}  # what is usual with engines of a role
         self.waits = {role: Known() for role in Role}
+        self.taken = self.allowed = 0.0  # time of answers at mixed servers, and what their tariffs allow
         self.carried = self.borne = 0.0  # own streams a writer, and their part of the writers' memory
         self.beginnings: list[int] = []  # those of the last queries
         self.balance: dict[int, float] = {}  # rack: its writers under the threshold a reader, 1 is usual
@@ -314,7 +316,10 @@
         mixed, row = self.pool(Role.MIXED), self.row(q)
         # A state that nobody can take would only be read to be let go.
         able = self.pool(Role.READER) if mixed or self.pool(Role.WRITER) else []
-        able += [e for e in mixed if not e.streams and not self.reported_busy(e)]
+        # Against reads that stop streams which this front does not see: only where answers leave room for it.
+        roomy = self.taken < PACE_ROOM * self.allowed
+        able += [e for e in mixed if not self.carries(e)
+                 or (roomy and not e.streams and not self.reported_busy(e))]
         best = self.soonest(q, self.usable(q, able, failed, ran))
         if best and self.queue(best) + self.lag(best) <= 2 * line:
             return best
@@ -601,6 +606,10 @@
                 # Against taking a prompt found cached for one read fast: only the end of an answer tells.
                 self.paced(e, q.prompt - out.kept, read)
             row = self.row(q)
+            if q.likely_out and e.role is Role.MIXED:
+                part = 1 / 16 if self.allowed else 1.0
+                self.allowed += (q.likely_out * row.terms.pace - self.allowed) * part
+                self.taken += (out.took - self.taken) * part
             tokens = q.likely_out or out.took / max(1, row.terms.pace)
             row.out = tokens if not row.out else row.out + (tokens - row.out) / 16
         elif out.ending is Ending.SEVERED:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -304,15 +304,31 @@
             host.begin(one)
             self.assertEqual(host.of(one), ["send", "send"])
 
-    def test_a_blind_front_reads_beside_streams_only_where_it_knows_of_none(self) -> None:
+    def test_a_blind_front_reads_beside_unseen_streams_only_where_answers_leave_room(self) -> None:
         host = FakeHost([READER, MIXED], terms(fronts=50))
-        host.desk.rules.engines[0].unread = 500
+        reader = host.desk.rules.engines[0]
+
+        def streamed(took: int) -> None:
+            """One answer of 50 tokens, for which the tariff allows 25,000, made at the mixed server."""
+            reader.unread = 0
+            one = host.ask(200)
+            host.end(one, Ending.READ)
+            host.begin(one)
+            host.end(one, Ending.SUCCEEDED, over=True, took=took)
+            reader.unread = 500
+
+        reader.unread = 500
+        self.assertEqual(host.at(host.ask(200)), 0)  # nothing is known of the pace there
+        streamed(5_000)
         one = host.ask(200)
         self.assertEqual(host.at(one), 1)
         host.begin(one)
-        self.assertEqual(host.at(host.ask(200)), 0)
+        self.assertEqual(host.at(host.ask(200)), 0)  # beside its own stream
         host.end(one, Ending.SUCCEEDED, over=True, took=5_000)
         self.assertEqual(host.at(host.ask(200)), 1)
+        for _ in range(12):
+            streamed(20_000)
+        self.assertEqual(host.at(host.ask(200)), 0)
 
     def test_all_fronts_read_a_beginning_at_the_same_home(self) -> None:
         homes = set()
