A read is let in by the time that its own reading leaves, counted once

Faulty: OWN_READS in `serve`, which took two and a half times the own reading off the time left; it stood for the error of foreseen reads where own reading was short against the due time, and here takes all there is.

Change: the own reading is taken off once.

--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -49,7 +49,6 @@
 BLIND_PATIENCE = 0.45  # the same where no own streams tell anything of the engines
 LATER_PATIENCE = 0.3  # of it, for a client's later try: part of its due time has gone before it came
 SPILL_READ = 0.25  # part of an answer's time that a read beside streams may take
-OWN_READS = 2.5  # times a read takes the time of its own that must be left for it
 SHOT_PART = 0.8  # of the time left, for an answer's shot after which another may follow
 LEAST_CAP = 300 * MILLI
 REPEATS = 0.3  # reads that may be sent again for each that ends well, against an overload kept up by them
@@ -199,7 +198,7 @@
                 own = self.to_read(engine, q) / self.pace(engine)
                 wait = self.predicted(engine, q) - own + min(map(self.wait, writers), default=0)
                 # Patience differs by chance, or all fronts would dismiss, and admit, everything at one time.
-                spare = max(LEAST_WAIT, (due - self.now - OWN_READS * own) * patience)
+                spare = max(LEAST_WAIT, (due - self.now - own) * patience)
                 if not shots and wait * (0.5 + q.luck) > spare:
                     break
                 # States read ahead of full writers only wait, or are given up and read again.
