A beginning dear to read has one home until a front knows it to be popular

Ruled out: memory. What a reader read within its last 180,000 new tokens it still had (99%). Faulty: `homes`, which gives every unseen beginning the same part of all queries, whatever another copy costs.

Change: where reading it takes over 0.17 of the due time at the learned rate, the usual part counts as nothing: one home until seen.

--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -65,6 +65,7 @@
 READ_WEIGHT = 3  # times a read's own time that its tokens count for in the pick
 HOMES = 3.0  # readers' fair parts that a popular beginning is spread over
 USUAL_PART = 0.015  # of all queries, that begin alike: what a beginning counts for before it has been seen
+CHEAP = 0.17  # of the due time: a beginning read sooner has more homes before it is known to be popular
 SEEN = 64  # last queries, of which beginnings are counted; the usual part weighs as many
 MARKS = 0xFFFFFFFF
 READER_ROOM = 1.6  # times its usual part that a reader takes where its rack has writers to spare
@@ -416,7 +417,9 @@
             # Against a front that sees little taking one home, or half of all, by a single query, each front
             # another: all of a beginning's texts drown one reader, and no session finds its reader again.
             seen = sum(b == q.beginning for b in self.beginnings)
-            part = (seen + SEEN * USUAL_PART) / (len(self.beginnings) + SEEN)
+            dear = q.beginning_length / self.rates[Role.READER] > CHEAP * self.row(q).terms.due
+            usual = 0.0 if dear else USUAL_PART
+            part = (seen + SEEN * usual) / (len(self.beginnings) + SEEN)
             self.beginnings = [*self.beginnings[1 - SEEN:], q.beginning]
             able.sort(key=lambda e: self.turn(e, q.beginning_mark))
             able = able[:1 + int(HOMES * part * len(able))]
