The pace at mixed servers is judged from many answers, not from the first guess

Faulty: `streamed`, where the first answer decided alone and each one weighed a sixteenth; and nothing was read there before the first answer had ended.

Change: sums that fade by 1/32, of which the first counts its allowed time twice; before any answer there is room, if the client has made a guess.

--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -317,7 +317,7 @@
         # A state that nobody can take would only be read to be let go.
         able = self.pool(Role.READER) if mixed or self.pool(Role.WRITER) else []
         # Against reads that stop streams which this front does not see: only where answers leave room for it.
-        roomy = self.taken < PACE_ROOM * self.allowed
+        roomy = q.likely_out > 0 and self.taken <= PACE_ROOM * self.allowed
         able += [e for e in mixed if not self.carries(e)
                  or (roomy and not e.streams and not self.reported_busy(e))]
         best = self.soonest(q, self.usable(q, able, failed, ran))
@@ -609,9 +609,10 @@
                 self.paced(e, q.prompt - out.kept, read)
             row = self.row(q)
             if q.likely_out and e.role is Role.MIXED:
-                part = 1 / 16 if self.allowed else 1.0
-                self.allowed += (q.likely_out * row.terms.pace - self.allowed) * part
-                self.taken += (out.took - self.taken) * part
+                # A client's guess is rough: what is allowed begins twice as long, or one answer would decide.
+                allowed = q.likely_out * row.terms.pace
+                self.allowed += allowed - self.allowed / 32 if self.allowed else 2 * allowed
+                self.taken += out.took - self.taken / 32
             tokens = q.likely_out or out.took / max(1, row.terms.pace)
             row.out = tokens if not row.out else row.out + (tokens - row.out) / 16
         elif out.ending is Ending.SEVERED:
