A cached count that cannot be makes no engine look fast

Faulty: `streamed` and `ended`, which subtract it from the prompt unchecked (readers' answers are cut off at 0 in `node/calls.py`; the simulator's are not). The test fails without it. A test that one slow answer takes no room in the pace and a few do.

--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -576,7 +576,7 @@
                     if q.homes and e.id == q.homes[0]:
                         row = self.row(q)
                         row.kept += (min(1.0, out.kept / max(1, q.prompt)) - row.kept) / 16
-                    queue += max(1, q.prompt - out.kept) - tokens
+                    queue += max(1, q.prompt - max(0, out.kept)) - tokens
                 if out.ending is not Ending.BEGUN:
                     self.paced(e, queue, out.took)
                 self.learn(e.lag, self.lags[e.role], max(0.0, out.took - queue / self.rates[e.role]))
@@ -606,7 +606,7 @@
         if out.ending is Ending.SUCCEEDED:
             if read:
                 # Against taking a prompt found cached for one read fast: only the end of an answer tells.
-                self.paced(e, q.prompt - out.kept, read)
+                self.paced(e, q.prompt - max(0, out.kept), read)
             row = self.row(q)
             if q.likely_out and e.role is Role.MIXED:
                 # A client's guess is rough: what is allowed begins twice as long, or one answer would decide.
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from runspool.decisions.interface import Ending, Role
 from tests.fakehost import MIXED, READER, WRITER, FakeHost, terms
 
@@ -20,6 +22,41 @@
     assert host.desk.rules.rates[Role.MIXED] == 3.0
 
 
+@pytest.mark.parametrize("cached", [-1_000_000_000, 9_000_000])
+def test_a_cached_count_that_cannot_be_makes_no_engine_look_fast(cached: int) -> None:
+    host = FakeHost([READER, MIXED], terms(fronts=50))
+    rules = host.desk.rules
+    rules.engines[1].unread = 9_000  # so that the reader reads
+    one = host.ask(6_000)
+    host.end(one, Ending.READ, took=6_000, kept=cached)
+    host.begin(one)
+    host.end(one, Ending.SUCCEEDED, over=True, took=5_000, kept=cached)
+    rules.engines[1].unread, rules.engines[0].unread = 0, 9_000
+    two = host.ask(6_000)
+    assert host.at(two) == 1
+    host.begin(two, took=6_000)
+    host.end(two, Ending.SUCCEEDED, over=True, took=5_000, kept=cached)
+    assert rules.rates[Role.READER] <= 1.0
+    assert rules.rates[Role.MIXED] <= 1.0
+
+
+def test_one_slow_answer_leaves_room_in_the_pace_and_many_do_not() -> None:
+    host = FakeHost([READER, MIXED], terms(fronts=50))
+    reader = host.desk.rules.engines[0]
+    places = []
+    for _ in range(8):
+        reader.unread = 500
+        one = host.ask(200)
+        reader.unread = 0
+        places.append(host.at(one))
+        if places[-1] == 0:
+            host.end(one, Ending.READ)
+        host.begin(one)
+        host.end(one, Ending.SUCCEEDED, over=True, took=15_000)  # 50 tokens, for which 25,000 are allowed
+    assert places[:2] == [1, 1], places
+    assert places[-1] == 0, places
+
+
 def test_a_stream_from_a_reader_teaches_nothing_of_how_fast_its_writer_reads() -> None:
     host = FakeHost([READER, MIXED], terms(fronts=50))
     host.desk.rules.engines[1].unread = 9_000  # so that the reader reads
