An engine's cached count is bounded once, and what a front sees to carry has one name

Read again: the mend of counts that cannot be stood on two of three uses. The third, `row.kept`, a session's part found at its home, took a negative one as it came, and with it was wrong for hundreds of reads; the test now asks for it too. One `cached` serves all three. `pick_reader` asked `carries` for each mixed server and then most of it again: blind is asked once, `seen_to_carry` once a server, the picks are the same. Counts within the prompt decide as before.

--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -318,8 +318,8 @@
         able = self.pool(Role.READER) if mixed or self.pool(Role.WRITER) else []
         # Against reads that stop streams which this front does not see: only where answers leave room for it.
         roomy = q.likely_out > 0 and self.taken <= PACE_ROOM * self.allowed
-        able += [e for e in mixed if not self.carries(e)
-                 or (roomy and not e.streams and not self.reported_busy(e))]
+        if roomy or not self.blind():
+            able += [e for e in mixed if not self.seen_to_carry(e)]
         best = self.soonest(q, self.usable(q, able, failed, ran))
         if best and self.queue(best) + self.lag(best) <= 2 * line:
             return best
@@ -375,13 +375,16 @@
         return trusted or [e for e in able if e.shunned <= self.now]
 
     def carries(self, e: Engine) -> bool:
+        return self.seen_to_carry(e) or self.blind()
+
+    def blind(self) -> bool:
         """With under one own stream a writer, none of mine at one says nothing of the other fronts' there."""
         self.survey()
-        return bool(e.streams) or self.terms.fronts > 1 > self.carried or self.reported_busy(e)
+        return self.terms.fronts > 1 > self.carried
 
-    def reported_busy(self, e: Engine) -> bool:
+    def seen_to_carry(self, e: Engine) -> bool:
         seen = self.fresh(e)
-        return bool(seen and seen.in_flight)
+        return bool(e.streams or (seen and seen.in_flight))
 
     def fresh(self, e: Engine) -> Report | None:
         return e.report if e.report and self.now - e.reported < FRESH else None
@@ -575,8 +578,8 @@
                 if out.ending is Ending.READ:
                     if q.homes and e.id == q.homes[0]:
                         row = self.row(q)
-                        row.kept += (min(1.0, out.kept / max(1, q.prompt)) - row.kept) / 16
-                    queue += max(1, q.prompt - max(0, out.kept)) - tokens
+                        row.kept += (self.cached(q, out) / max(1, q.prompt) - row.kept) / 16
+                    queue += max(1, q.prompt - self.cached(q, out)) - tokens
                 if out.ending is not Ending.BEGUN:
                     self.paced(e, queue, out.took)
                 self.learn(e.lag, self.lags[e.role], max(0.0, out.took - queue / self.rates[e.role]))
@@ -606,7 +609,7 @@
         if out.ending is Ending.SUCCEEDED:
             if read:
                 # Against taking a prompt found cached for one read fast: only the end of an answer tells.
-                self.paced(e, q.prompt - max(0, out.kept), read)
+                self.paced(e, q.prompt - self.cached(q, out), read)
             row = self.row(q)
             if q.likely_out and e.role is Role.MIXED:
                 # A client's guess is rough: what is allowed begins twice as long, or one answer would decide.
@@ -618,6 +621,11 @@
         elif out.ending is Ending.SEVERED:
             self.distrust(e)
 
+    @staticmethod
+    def cached(q: Query, out: Outcome) -> int:
+        """Against an engine's count that cannot be, which would spoil what is learned from it for long."""
+        return min(max(0, out.kept), q.prompt)
+
     def paced(self, e: Engine, tokens: int, took: int) -> None:
         """A rate is the best seen of late, as unseen waits only slow a read; what is over it is lag."""
         rate, seen = self.rates[e.role], max(1, tokens) / max(1, took)
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -38,6 +38,7 @@
     host.end(two, Ending.SUCCEEDED, over=True, took=5_000, kept=cached)
     assert rules.rates[Role.READER] <= 1.0
     assert rules.rates[Role.MIXED] <= 1.0
+    assert 0 <= rules.tariffs[0].kept <= 1
 
 
 def test_one_slow_answer_leaves_room_in_the_pace_and_many_do_not() -> None:
@@ -67,8 +68,6 @@
     assert host.desk.rules.rates[Role.MIXED] == 1.0
 
 
-
-
 def test_a_read_that_is_in_time_with_its_own_reading_is_let_in() -> None:
     host = FakeHost([READER, WRITER], terms(fronts=50))
     host.luck = 0.5
