A log that cannot be written neither stops nor ends a node

Seen: with standard error closed or on a full disk the node never listened; with a pipe that nobody reads it stopped answering after 360 queries at debug level (probe on the code that failed). Faulty lines: logs.py, BytesLoggerFactory(file=sys.stderr.buffer): a blocking write that raises into whoever logs.

--- a/runspool/node/__main__.py
+++ b/runspool/node/__main__.py
@@ -13,10 +13,11 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     import anyio
 
-    from runspool.logs import start_logs
+    from runspool.logs import keep_standard_descriptors, start_logs
     from runspool.node.posting import BadPosting
     from runspool.node.running import run_node
 
+    keep_standard_descriptors()
     start_logs(os.environ.get("RUNSPOOL_LOG", "info"))
     try:
         anyio.run(run_node, os.environ, backend_options={"use_uvloop": True})
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -263,6 +263,9 @@
         self.log = b""
         self.settings = SETTINGS
         self.sockets = 256
+        self.redirection = ""  # of the node's standard files, as a shell words it
+        self.reads_log = asyncio.Event()  # while clear, the node's standard error is not read
+        self.reads_log.set()
 
     @asynccontextmanager
     async def serving(self, writer: asyncio.StreamWriter) -> AsyncIterator[None]:
@@ -405,11 +408,15 @@
         self.port = free_port()
         file = self.write_config()
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "runspool.node", stderr=asyncio.subprocess.PIPE,
+            "/bin/sh", "-c", f'exec "$0" -m runspool.node {self.redirection}', sys.executable,
+            stderr=asyncio.subprocess.PIPE,
             env=os.environ | {"BALANCER_CONFIG": str(file), "RUNSPOOL_LOG": "debug"})
         logging = asyncio.ensure_future(self._keep_log())
         try:
-            await self.logged("node_listening")
+            if self.redirection:
+                await self._answers()
+            else:
+                await self.logged("node_listening")
             client = await self.client()
             client.send(b"GET /_health HTTP/1.1\r\nHost: n0\r\n\r\n")
             assert (await client.answer()).status == 200
@@ -424,9 +431,19 @@
             await self.process.wait()
             await logging
 
+    async def _answers(self) -> None:
+        """Until the node, of which no log is seen, takes connections."""
+        async with asyncio.timeout(WAIT):
+            while True:
+                with suppress(OSError):
+                    (await self.client()).close()
+                    return
+                await asyncio.sleep(0.01)
+
     async def _keep_log(self) -> None:
         assert self.process.stderr is not None
         async for line in self.process.stderr:
+            await self.reads_log.wait()
             self.log += line
             self.changed()
 
