--- a/runspool/decisions/interface.py
+++ b/runspool/decisions/interface.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from enum import Enum, auto
+from enum import Enum, IntEnum, auto
 
 
 class Effect(Enum):
@@ -26,7 +26,7 @@
     RACK = auto()
 
 
-class Role(Enum):
+class Role(IntEnum):
     READER = auto()
     WRITER = auto()
     MIXED = auto()
--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -23,6 +23,7 @@
 from random import Random
 from typing import Any, cast
 
+from runspool.decisions.field import MARKS, Field
 from runspool.decisions.interface import (
     NEVER_RAN, Ask, Dismiss, Effect, Ending, Group, HouseTerms, KindTerms, Listen, Move, Outcome, Query,
     Release, Report, Role, Roster, Scrap, Shot, Subscribe, TariffTerms, Wait,
@@ -68,10 +69,11 @@
 USUAL_PART = 0.015  # of all queries, that begin alike: what a beginning counts for before it has been seen
 CHEAP = 0.17  # of the due time: a beginning read sooner has more homes before it is known to be popular
 SEEN = 64  # last queries, of which beginnings are counted; the usual part weighs as many
-MARKS = 0xFFFFFFFF
 READER_ROOM = 1.6  # times its usual part that a reader takes where its rack has writers to spare
 LEAST_PART = 0.2  # of it, where its rack has none
 LINK_JAM = 300 * MILLI  # beside it and the readers' lag, what leaving a rack adds weighs in the balance
+BALANCE_REST = SECOND  # in a large fleet, between two counts of what racks can write
+HOMES_LOOKED_AT = 8  # in a large fleet, of a text's homes
 EVIDENCE = 4  # own streams that weigh as much, of what others have at an engine, as the fleet's mean
 
 
@@ -123,6 +125,11 @@
         self.draw = Random(seed).random
         self.now = 0
         self.engines: dict[int, Engine] = {}
+        self.salt = seed
+        self.field: Field[Engine] = Field((), seed)
+        self.looks = 0  # runs of engines that requests of a large fleet have looked at
+        self.touched: dict[int, Engine] = {}  # engines with something of this front's out
+        self.balanced = -BALANCE_REST
         self.tariffs = [Tariff(row) for row in terms.tariffs]
         self.arrivals = [(0.0, 0)] * len(terms.tenants)  # faded count, and when
         self.reserved_reader = self.reserved_writer = cast(Engine | None, None)
@@ -145,16 +152,17 @@
             yield from self.serve(q)
         except BaseException:
             # Against a read or stream that nobody ends: its engine would look ever more overdue.
-            for e in self.engines.values():
+            for e in list(self.touched.values()):
                 e.waiting.pop(q.index, None)
                 e.unread -= e.reads.pop(q.index, (0, 0, 0))[1]
                 e.tokens -= e.streams.pop(q.index, 0)
+                self.let_be(e)
             raise
         finally:
             self.room = [place for place in self.room if place[2] != q.index]
 
     def serve(self, q: Query) -> Generator[Ask, Any, None]:
-        if q.tariff is None or 0 < max([e.memory for e in self.engines.values() if e.on] + [0]) < q.prompt:
+        if q.tariff is None or 0 < self.field.largest < q.prompt:
             yield Scrap()  # no later try would go better
             return
         q.luck, q.homes, row = self.draw(), self.homes(q), self.row(q)
@@ -196,7 +204,7 @@
             engine = (self.pick_writer(q, state, failed, ran) if state
                       else self.pick_reader(q, failed, ran, line))
             if engine and not state:
-                writers = self.writers()
+                writers = self.seen(q, Role.MIXED) + self.seen(q, Role.WRITER)
                 own = self.to_read(engine, q) / self.pace(engine)
                 wait = self.predicted(engine, q) - own + min(map(self.wait, writers), default=0)
                 # Patience differs by chance, or all fronts would dismiss, and admit, everything at one time.
@@ -290,7 +298,7 @@
             yield Wait(self.now + RETRY if late else min(by, self.now + rest))
 
     def roster(self, roster: Roster) -> None:
-        named = [line.engine for line in roster.engines]
+        named = {line.engine for line in roster.engines}
         for line in roster.engines:
             e = self.engines.get(line.engine)
             kind = [*self.terms.kinds[line.kind:line.kind + 1], KindTerms(Role.MIXED, 0)][0]
@@ -298,6 +306,7 @@
             if e is None or e.started < line.started or e.role is not kind.role:
                 e = Engine(line.engine, line.mark, kind.role, line.zone, line.rack, kind.memory, line.started)
                 self.engines[line.engine] = e
+                self.touched.pop(line.engine, None)
             e.on = line.state == "on"
         for e in self.engines.values() if roster.whole else ():
             e.on = e.on and e.id in named
@@ -307,6 +316,7 @@
             del self.engines[gone]
         for rack in self.links.keys() - {e.rack for e in self.engines.values()}:
             del self.links[rack]
+        self.field = Field(self.engines.values(), self.salt)
         readers = self.pool(Role.READER) or self.pool(Role.MIXED)
         if self.reserved_reader not in readers:
             self.reserved_reader = self.elect(readers, None)
@@ -319,9 +329,9 @@
         return min(able, key=lambda e: (e.unread + e.tokens, self.draw()), default=None)
 
     def pick_reader(self, q: Query, failed: list[int], ran: Engine | None, line: int) -> Engine | None:
-        mixed, row = self.pool(Role.MIXED), self.row(q)
+        mixed, row = self.seen(q, Role.MIXED), self.row(q)
         # A state that nobody can take would only be read to be let go.
-        able = self.pool(Role.READER) if mixed or self.pool(Role.WRITER) else []
+        able = self.seen(q, Role.READER) if mixed or self.pool(Role.WRITER) else []
         # Against reads that stop streams which this front does not see: only where answers leave room for it.
         roomy = q.likely_out > 0 and self.taken <= PACE_ROOM * self.allowed
         if roomy or not self.blind():
@@ -332,7 +342,7 @@
         # A read stops the streams beside it: only one short against an answer may join them.
         able += [e for e in mixed if self.carries(e) and self.load(e, q) < DISPATCH
                  and self.to_read(e, q) / self.pace(e) < SPILL_READ * row.out * row.terms.pace]
-        able = able or mixed or (self.pool(Role.WRITER) if self.terms.writers_read else [])
+        able = able or mixed or (self.seen(q, Role.WRITER) if self.terms.writers_read else [])
         return self.soonest(q, self.usable(q, able, failed, ran))
 
     def soonest(self, q: Query, able: list[Engine]) -> Engine | None:
@@ -342,7 +352,7 @@
                                         e is not self.reserved_reader, self.draw()), default=None)
 
     def pick_writer(self, q: Query, state: Engine, failed: list[int], ran: Engine | None) -> Engine | None:
-        mixed, pure = (self.usable(q, self.pool(r), failed, ran) for r in (Role.MIXED, Role.WRITER))
+        mixed, pure = (self.usable(q, self.seen(q, r, state), failed, ran) for r in (Role.MIXED, Role.WRITER))
         cost = {e.id: self.strain(e, q) + self.far(e, state) for e in mixed + pure}
         line = [e for e in mixed if self.strain(e, q) < DISPATCH]
         packed = [e for e in line if self.carries(e) or e is self.reserved_writer]
@@ -357,7 +367,7 @@
         return best or min(mixed + pure, default=None, key=lambda e: (cost[e.id], self.draw()))
 
     def overload(self) -> int | None:
-        writers = self.writers()
+        writers = [e for e in self.touched.values() if e.on and e.role is not Role.READER]
         over = [e for e in writers if e.streams and self.load(e) > CEILING]
         worst = max(over, key=self.load, default=None)
         if worst is None or not any(self.load(e) < DISPATCH for e in self.pool(worst.role)):
@@ -366,10 +376,21 @@
         return min(begun, key=worst.streams.__getitem__, default=None)
 
     def pool(self, role: Role) -> list[Engine]:
-        return [e for e in self.engines.values() if e.on and e.role is role]
-
-    def writers(self) -> list[Engine]:
-        return self.pool(Role.MIXED) + self.pool(Role.WRITER)
+        """All of a role that are on; not to be changed."""
+        return self.field.on[role]
+
+    def seen(self, q: Query, role: Role, state: Engine | None = None) -> list[Engine]:
+        """Those of a role that one look for a query takes in: all, unless the fleet is large."""
+        if not self.field.wide(role):
+            return list(self.field.on[role])
+        self.looks += 1
+        found = {e.id: e for e in self.field.run(role, self.looks)}
+        if role is Role.READER:
+            found |= {home: self.engines[home] for home in q.homes[:HOMES_LOOKED_AT] if home in self.engines}
+        elif state is not None:
+            found |= {e.id: e for e in self.field.in_rack(role, state.rack)}
+        found |= {e.id: e for e in self.touched.values() if e.on and e.role is role}
+        return [e for e in found.values() if e.on and e.role is role]
 
     def usable(self, q: Query, able: list[Engine], failed: list[int], ran: Engine | None) -> list[Engine]:
         row = self.row(q).terms
@@ -421,17 +442,34 @@
     def homes(self, q: Query) -> list[int]:
         """The readers at which every front supposes a text to be kept, the session's own first: one of many
         fronts has hardly ever read a text itself. A beginning has the more homes the more ask for it."""
-        able = self.pool(Role.READER)
+        if self.field.wide(Role.READER):
+            return self.homes_of_many(q)
+        able = list(self.pool(Role.READER))
         if q.beginning is not None:
             # Against a front that sees little taking one home, or half of all, by a single query, each front
             # another: all of a beginning's texts drown one reader, and no session finds its reader again.
-            seen = sum(b == q.beginning for b in self.beginnings)
-            dear = q.beginning_length / self.rates[Role.READER] > CHEAP * self.row(q).terms.due
-            usual = 0.0 if dear else USUAL_PART
-            part = (seen + SEEN * usual) / (len(self.beginnings) + SEEN)
-            self.beginnings = [*self.beginnings[1 - SEEN:], q.beginning]
             able.sort(key=lambda e: self.turn(e, q.beginning_mark))
-            able = able[:1 + int(HOMES * part * len(able))]
+            able = able[:self.homes_of_beginning(q, len(able))]
+        return self.in_turn(able, q)
+
+    def homes_of_many(self, q: Query) -> list[int]:
+        """The same in a large fleet, where not all readers are put in order: those that follow its mark."""
+        readers = len(self.pool(Role.READER))
+        span = readers if q.beginning is None else self.homes_of_beginning(q, readers)
+        first = q.session_mark if q.beginning is None else q.beginning_mark
+        return self.in_turn(self.field.ring(Role.READER, first, span, q.session_mark), q)
+
+    def homes_of_beginning(self, q: Query, readers: int) -> int:
+        """How many homes a query's beginning has, by how often it is asked for; counts the query."""
+        seen = sum(b == q.beginning for b in self.beginnings)
+        dear = q.beginning_length / self.rates[Role.READER] > CHEAP * self.row(q).terms.due
+        usual = 0.0 if dear else USUAL_PART
+        part = (seen + SEEN * usual) / (len(self.beginnings) + SEEN)
+        self.beginnings = [*self.beginnings[1 - SEEN:], cast(int, q.beginning)]
+        return 1 + int(HOMES * part * readers)
+
+    def in_turn(self, able: list[Engine], q: Query) -> list[int]:
+        """The ids of homes, the session's own first."""
         able.sort(key=lambda e: (e.zone != self.terms.zone, self.turn(e, q.session_mark)))
         return [e.id for e in able]
 
@@ -511,9 +549,13 @@
         if self.surveyed == self.now:
             return
         self.surveyed = self.now
-        writers = self.writers()
-        self.carried = sum(len(e.streams) for e in writers) / max(1, len(writers))
-        self.borne = sum(e.tokens for e in writers) / max(1, sum(e.memory or 1 for e in writers))
+        mine = [e for e in self.touched.values() if e.on and e.role is not Role.READER]
+        self.carried = sum(len(e.streams) for e in mine) / max(1, self.field.peers(Role.WRITER))
+        self.borne = sum(e.tokens for e in mine) / max(1, self.field.writers_memory)
+        if self.field.wide(Role.READER) and self.now < self.balanced + BALANCE_REST:
+            return
+        self.balanced = self.now
+        writers = self.field.writers()
         able = Counter(e.rack for e in writers if self.load(e) < DISPATCH)
         reads = Counter(e.rack for e in self.pool(Role.READER))
         usual = max(1, able.total()) / max(1, reads.total())
@@ -538,10 +580,10 @@
     def bears(self, e: Engine, luck: float) -> bool:
         """Against pushing over a cold engine, all fronts together: it is offered a part of what each has.
         One draw a query, or waiting would be trying again."""
-        warmth, reads = self.warmth(e), e.role is Role.READER
+        warmth = self.warmth(e)
         if warmth == 1.0:
             return True  # peers counted for warm ones too made the cost grow by the square of the fleet
-        peers = sum(o.on and (o.role is Role.READER) == reads for o in self.engines.values())
+        peers = self.field.peers(e.role)
         part = COLD_SAFETY * self.terms.fall_multiple * warmth / max(1, peers)
         return (luck + e.id * GOLDEN) % 1 < part
 
@@ -555,12 +597,13 @@
         return 0 < 1.3 * usual + 2 < seen
 
     def hold_off(self, q: Query) -> int:
-        soonest = min((self.predicted(e, q) for e in self.pool(Role.READER)), default=0)
+        soonest = min((self.predicted(e, q) for e in self.seen(q, Role.READER)), default=0)
         # Against all coming back within the jam that turned them away, where they only add to it.
         rest = max(BACKOFF, JAM_PASSES * soonest)
         return min(self.terms.longest_wait_told, rest) if self.terms.may_say_when else 0
 
     def sent(self, q: Query, e: Engine, state: Engine | None) -> None:
+        self.touched[e.id] = e
         if state is None:
             tokens = self.to_read(e, q)
             e.unread += tokens
@@ -608,10 +651,12 @@
             e.strikes = max(e.strikes, 1)  # one shot overdue may be a jam, which shunning would only move
         if out.ending is not Ending.BEGUN:
             e.tokens -= e.streams.pop(q.index, 0)
+        self.let_be(e)
 
     def streamed(self, q: Query, e: Engine, out: Outcome, read: int) -> None:
         e.report, e.reported = (out.report, self.now) if out.report else (e.report, e.reported)
         e.tokens -= e.streams.pop(q.index, 0)
+        self.let_be(e)
         if out.ending is Ending.SUCCEEDED:
             if read:
                 # Against taking a prompt found cached for one read fast: only the end of an answer tells.
@@ -627,6 +672,11 @@
         elif out.ending is Ending.SEVERED:
             self.distrust(e)
 
+    def let_be(self, e: Engine) -> None:
+        """Forgets that something is out at an engine, once nothing is."""
+        if not (e.reads or e.waiting or e.streams) and self.touched.get(e.id) is e:
+            del self.touched[e.id]
+
     @staticmethod
     def cached(q: Query, out: Outcome) -> int:
         """Against an engine's count that cannot be, which would spoil what is learned from it for long."""
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -87,10 +87,10 @@
 
 def test_the_same_seed_is_the_same_history_in_every_process() -> None:
     """Whatever order the interpreter gives its sets, by hash or by address: the same news, the same picks."""
-    said = [subprocess.run([sys.executable, "-c", DIGEST], capture_output=True, text=True, check=True,
-                           env=os.environ | {"PYTHONHASHSEED": hashing, "PYTHONMALLOC": memory}).stdout.splitlines()[-1]
+    runs = [subprocess.run([sys.executable, "-c", DIGEST], capture_output=True, text=True, check=True,
+                           env=os.environ | {"PYTHONHASHSEED": hashing, "PYTHONMALLOC": memory})
             for hashing, memory in (("1", "pymalloc"), ("2", "malloc"), ("3", "pymalloc"))]
-    assert len(set(said)) == 1
+    assert len({run.stdout.splitlines()[-1] for run in runs}) == 1
 
 
 # One breach a rule, in the real code; the same history without it is the test above, or the sound case below.
