A read that follows a lost one waits until what that may have left was let go of

Ruled out: repeats of the call (none is made while an attempt is out). Faulty lines: node.py, the call made behind a second read; rules.py, a state kept for another writer after it was let go of behind the first.

--- a/runspool/decisions/rules.py
+++ b/runspool/decisions/rules.py
@@ -250,7 +250,7 @@
             if out.ending is Ending.BEGUN:
                 self.streamed(q, engine, (yield Listen()), 0 if state else out.took)
                 return
-            if not out.arrived:
+            if not (out.arrived or out.ending is Ending.VOID):
                 unheard.append(engine.id)
             if out.ending is Ending.READ:
                 state, held, failed, missed = engine, self.now, list(unheard), 0
@@ -259,12 +259,14 @@
                 state = None
             elif out.ending is not Ending.SUCCEEDED:
                 never_sent = out.ending in NEVER_SENT
-                # A write that nothing was heard of has stopped no clock, unless all was let go of behind it:
-                # what is left then, if it had arrived after all, is held from now on.
-                stopped = not never_sent and (out.arrived or out.released)
-                missed, held = (out.took if never_sent else 0), (self.now if stopped else held)
+                # A write that nothing was heard of has stopped no clock.
+                missed, held = (out.took if never_sent else 0), (self.now if out.arrived else held)
                 failed.append(engine.id)
                 spent = not state and not q.again and out.ending in (Ending.OVERDUE, Ending.FULL)
+                if state and out.released:
+                    # It is gone, or goes with the attempt that it was waiting for: what is left is let go of.
+                    yield Release()
+                    state = None
             if effect and not ran and out.ending not in NEVER_RAN:
                 ran, ran_at = engine, sent
         if state:
--- a/runspool/node/releasing.py
+++ b/runspool/node/releasing.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 import anyio
@@ -44,6 +44,7 @@
     confirmed: Callable[[], None]
     unsure: Callable[[], bool]
     scope: anyio.CancelScope | None = None
+    done: anyio.Event = field(default_factory=anyio.Event)  # confirmed, withdrawn or given up
 
 
 class Releases:
@@ -172,7 +173,15 @@
             self._settled(oldest)
         self.waiting.set()
 
+    async def settled_within(self, request: str, seconds: float) -> None:
+        """Until nothing is owed for a request, but no longer than that."""
+        release = self.owed.get(request)
+        if release is not None:
+            with anyio.move_on_after(seconds):
+                await release.done.wait()
+
     def _settled(self, release: Release) -> None:
+        release.done.set()
         if self.owed.get(release.request) is release:
             del self.owed[release.request]
             self.count(-1)
--- a/runspool/service/carrying.py
+++ b/runspool/service/carrying.py
@@ -83,6 +83,9 @@
     def let_go(self, taken: T) -> None:
         """Begins to let go of the state that waits at `taken.state_at`."""
 
+    async def before_attempt(self, taken: T, site: Site) -> None:
+        """What has to be done, or waited for, before an attempt begins."""
+
     def let_go_behind(self, taken: T) -> bool:
         """Has engines let go of what is held and no attempt waits for, while one may be out; what one does
         wait for stays. False where the protocol has no such call."""
@@ -191,6 +194,7 @@
     # How it is carried out.
 
     async def _shot(self, taken: T, site: Site, cap: int) -> None:
+        await self.before_attempt(taken, site)
         sent, shot = now(), taken.shots
         limit = limit_of(cap, taken.limit - self.house.answer_slack - sent)
         ended = Ended(ENDINGS[Mishap.CALLED_BACK], Mishap.CALLED_BACK)
