--- a/runspool/engines/exchange.py
+++ b/runspool/engines/exchange.py
@@ -92,11 +92,12 @@
 class Call:
     """One exchange: its link, once it stands, and how far it has come."""
 
-    __slots__ = ("arrived", "link", "permit")
+    __slots__ = ("arrived", "clock", "link", "permit")
 
     def __init__(self, permit: Permit = FREE) -> None:
         self.permit = permit
         self.link: Link
+        self.clock: Clock
         self.arrived = False
 
     @property
@@ -151,8 +152,9 @@
             call.link = await self.pool.take(address)
         except Full as fault:
             raise Stopped(Mishap.OWN_CAP, str(fault)) from None
-        except (OSError, TimeoutError) as fault:
+        except Exception as fault:  # whatever the loop raises, nothing has been sent
             raise Stopped(Mishap.REFUSED, str(fault) or type(fault).__name__) from None
+        call.clock = clock
         clock.mishap = Mishap.SILENT_BEFORE_LAST_BYTE
         await self._send(call, clock, words)
         clock.mishap = Mishap.SILENT_AFTER_LAST_BYTE
@@ -243,6 +245,10 @@
         """From here on only cancel() ends the shot."""
         self.mishap, self.scope.deadline = mishap, math.inf
 
+    def extend(self, time: int) -> None:
+        """Puts it off until so many tenths of a millisecond from now, if that is later."""
+        self.scope.deadline = max(self.scope.deadline, anyio.current_time() + time / (1000 * TENTHS))
+
     def left(self) -> int:
         """Tenths of a millisecond until it runs out."""
         return int((self.scope.deadline - anyio.current_time()) * 1000 * TENTHS)
--- a/runspool/node/catalog.py
+++ b/runspool/node/catalog.py
@@ -22,8 +22,10 @@
 # return counts at once, and what it was asked before that it never answers. So silence is to be known within
 # the seconds that an outage lasts, and from then on asked into again and again.
 WAIT_MS = 1_000  # that a watch may last
-GRACE_MS = 400  # beyond it, and for a whole list, before the agent counts as silent
+GRACE_MS = 400  # beyond it, and for a whole list, before the agent counts as silent; anew with each piece
 RETRY = 0.1  # seconds between the beginnings of two tries; the first after a break comes at once
+LONGEST_MS = 3_000  # that an answer may take piece by piece, before what it says is too old
+SLOW_RETRY_MS = 1_000  # between two tries while an answer is coming: each makes the others slower
 
 
 class Catalog(Exchanges):
@@ -39,6 +41,7 @@
         self.scope: anyio.CancelScope | None = None
         self.began = 0  # the watch or the tries that are under way
         self.heard = anyio.Event()  # a first whole list
+        self.progressed = 0  # when a piece of an answer came last
 
     def said_no(self, reply: Reply, body: bytes) -> tuple[Mishap, str]:
         return Mishap.FAILED, ""
@@ -86,9 +89,17 @@
         async with anyio.create_task_group() as tries:
             while True:
                 tries.start_soon(ask)
-                await anyio.sleep(RETRY)
+                await self._until_next_try(self.now())
         return told[0]
 
+    async def _until_next_try(self, began: int) -> None:
+        """For a while, and for longer as long as an answer is coming."""
+        while True:
+            await anyio.sleep(RETRY)
+            coming = self.progressed >= began and self.now() - self.progressed < tenths(GRACE_MS)
+            if not coming or self.now() - began >= tenths(SLOW_RETRY_MS):
+                return
+
     def _heard(self, raw: bytes, since: int | None) -> int:
         """Takes an answer; the version to ask after next."""
         # A service that lost its numbers begins at a low one. Answers on one connection come in order, so
@@ -109,8 +120,14 @@
         with self._clock(limit) as clock, self._carried(call):
             words = worded("GET", target(after, WAIT_MS), {"Host": f"{address[0]}:{address[1]}"})
             await self._asked(call, clock, address, lambda left: words)
-            await self._head(call)
-            told = await self._whole(call)
-        return told
+            with anyio.move_on_after(LONGEST_MS / 1000 if after is None else (WAIT_MS + LONGEST_MS) / 1000):
+                await self._head(call)
+                return await self._whole(call)
+        raise Stopped(Mishap.SILENT_AFTER_LAST_BYTE, "an answer that does not end")
+
+    async def _more(self, call: Call, cut: Mishap) -> None:
+        await super()._more(call, cut)
+        self.progressed = self.now()
+        call.clock.extend(tenths(GRACE_MS))
 
 
--- a/runspool/node/posting.py
+++ b/runspool/node/posting.py
@@ -24,6 +24,10 @@
     """The posting cannot be used; the message names the key."""
 
 
+class HalfWritten(BadPosting):
+    """The file cannot be read, or is no JSON: it may be in the middle of being written."""
+
+
 @dataclass(frozen=True, slots=True)
 class Posting:
     name: str
@@ -43,7 +47,7 @@
     try:
         raw = Path(file).read_bytes()
     except OSError as fault:
-        raise BadPosting(f"BALANCER_CONFIG: {file}: {fault.strerror}") from None
+        raise HalfWritten(f"BALANCER_CONFIG: {file}: {fault.strerror}") from None
     if len(raw) > FILE_BYTES:
         raise BadPosting(f"BALANCER_CONFIG: {file}: over {FILE_BYTES} bytes")
     try:
@@ -66,7 +70,7 @@
             granted=_granted(said["settings"]),
         )
     except UNREADABLE as fault:
-        raise BadPosting(f"{file}: no JSON: {fault}") from None
+        raise HalfWritten(f"{file}: no JSON: {fault}") from None
     except BadList as fault:
         raise BadPosting(f"known: {fault}") from None
     except Unfit as fault:
--- a/runspool/node/running.py
+++ b/runspool/node/running.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import gc
 import resource
 import signal
@@ -9,20 +10,23 @@
 from contextlib import suppress
 
 import anyio
-from anyio.abc import SocketAttribute, TaskStatus
+from anyio.abc import SocketAttribute, SocketStream, TaskStatus
+from anyio.streams.stapled import MultiListener
 import structlog
 
 from runspool.node.catalog import Catalog
 from runspool.node.intake import Intake
 from runspool.node.node import Node, Speech
-from runspool.node.posting import BadPosting, Posting, read_posting
+from runspool.node.posting import BadPosting, HalfWritten, Posting, read_posting
 from runspool.service.accepting import accept_all
 from runspool.service.clock import now
 from runspool.sockets.lines import Gone, Line
 from runspool.wire.requests import head
 
 SWEEP = 0.5  # seconds between looks for idle connections
-AGAIN = 0.02  # seconds before a standing task that failed begins again
+AGAIN, LONGEST_AGAIN = 0.02, 1.0  # seconds before a standing task that failed begins again, doubled each time
+STOOD = 5.0  # seconds after which a standing task counts as sound again
+HELD_PORT, HELD_PORT_REST = 20.0, 0.05  # seconds that a start waits for its port, and between two looks
 RESERVE = 28  # descriptors for the list, the listener, the loop and what the interpreter opens
 CLIENTS_PART = 0.45  # of the rest; requests take a third of all at most, silent clients may be dropped
 LONGEST_COUNTED = 30_000  # tenths of a millisecond: a hard limit beyond it puts off the kill no further
@@ -67,11 +71,7 @@
         where it cannot listen. Cancelled, it ends at once."""
         node, posting = self.node, self.posting
         node.engines_changed(node.following.recalled(posting.known.engines))
-        try:
-            listener = await anyio.create_tcp_listener(local_host=posting.listen[0],
-                                                       local_port=posting.listen[1], backlog=1024)
-        except OSError as fault:
-            raise BadPosting(f"listen: {posting.listen[0]}:{posting.listen[1]}: {fault}") from None
+        listener = await self._listen()
         try:
             async with listener, anyio.create_task_group() as tasks:
                 node.tasks = tasks
@@ -98,13 +98,34 @@
         self.log.info("node_stopped", node=posting.name, counts=dict(node.counts))
 
     async def _standing(self, work: Callable[[], Awaitable[None]]) -> None:
-        """Against one fault in work that never ends, or in what it rings for, ending the node."""
+        """Against one fault in work that never ends, or in what it rings for, ending the node. One that stays
+        neither takes the node's time nor fills the log."""
+        rest = AGAIN
         while True:
+            began = anyio.current_time()
             try:
                 return await work()
             except Exception as fault:
+                rest = AGAIN if anyio.current_time() - began > STOOD else rest
                 self.log.exception("task_failed", work=work.__qualname__, fault=repr(fault))
-                await anyio.sleep(AGAIN)
+                await anyio.sleep(rest)
+                rest = min(2 * rest, LONGEST_AGAIN)
+
+    async def _listen(self) -> MultiListener[SocketStream]:
+        """Waits for a port that is held, by the process before this or by a connection that went out from it:
+        both end. Raises BadPosting where it is held for long, or cannot be had for another reason."""
+        host, port = self.posting.listen
+        until, waited = anyio.current_time() + HELD_PORT, False
+        while True:
+            try:
+                return await anyio.create_tcp_listener(local_host=host, local_port=port, backlog=1024)
+            except OSError as fault:
+                if fault.errno != errno.EADDRINUSE or anyio.current_time() > until:
+                    raise BadPosting(f"listen: {host}:{port}: {fault}") from None
+                if not waited:
+                    self.log.warning("port_held", listen=f"{host}:{port}")
+                waited = True
+            await anyio.sleep(HELD_PORT_REST)
 
     def stop(self) -> None:
         """Takes what still comes for a while; what is held ends in final answers first."""
@@ -222,10 +243,23 @@
     return may
 
 
+async def first_posting(environ: Mapping[str, str]) -> Posting:
+    """What a start is told. A file that is not there or half written is looked at again for a while. Raises
+    BadPosting."""
+    until = now() + LOOK_AGAIN
+    while True:
+        try:
+            return read_posting(environ)
+        except HalfWritten:
+            if now() > until:
+                raise
+        await anyio.sleep(LOOK_REST)
+
+
 async def run_node(environ: Mapping[str, str]) -> None:
     """Runs a node in this process until SIGTERM or SIGINT. Raises BadPosting."""
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        posting = read_posting(environ)
+        posting = await first_posting(environ)
         running = Running(posting, lambda: read_posting(environ), descriptors(posting.sockets))
         # What is there at the start stays: looking through it again would stop a node for tens of ms.
         gc.collect()
--- a/runspool/service/timers.py
+++ b/runspool/service/timers.py
@@ -38,10 +38,17 @@
                 late = now() - self.heap[0][0]
                 self.log.warning("timers_late", late_ms=late / 10, waiting=len(self.heap))
             while self.heap and self.heap[0][0] <= now():
-                self.ring(heapq.heappop(self.heap)[2])
+                self._ring_one(heapq.heappop(self.heap)[2])
             self.sooner = anyio.Event()
             if not self.heap:
                 await self.sooner.wait()
                 continue
             with anyio.move_on_after(max(0.0, (self.heap[0][0] - now()) / 10_000)):
                 await self.sooner.wait()
+
+    def _ring_one(self, token: str) -> None:
+        """Against a fault in what one rings for making the others late."""
+        try:
+            self.ring(token)
+        except Exception as fault:
+            self.log.exception("timer_failed", token=token, fault=repr(fault))
