--- a/runspool/node/node.py
+++ b/runspool/node/node.py
@@ -24,7 +24,7 @@
 STREAM_SILENCE_MS = 4_000  # after a stream's last event; its client is to be told before 5 s
 REST_MS = 25  # after an answer, in which another may come: the platform says some milliseconds late
 EVENT_BYTES = 65_536  # of one event, and of a read's answer
-RELEASE_FIRST = 0.05  # seconds that a read waits until what one before it may have left has been let go of
+RELEASE_FIRST = 0.05  # seconds that a read waits for a call that lets go of what one before it left
 RELEASE_MS = 1_000  # for letting go of a state, where the settings grant no time
 DESK = "node"
 
@@ -128,13 +128,13 @@
         return True
 
     async def before_attempt(self, taken: Held, site: Site) -> None:
-        """Against a call for what an earlier read may have left taking what the next one leaves: it goes
-        first, and need not be made behind a read of which nobody knows whether it has arrived."""
-        if site.role is not Role.READER:
-            return
-        if taken.maybe_read is not None and taken.final is None:
-            self.let_go(taken)
-        await self.releases.settled_within(taken.id, RELEASE_FIRST)
+        """Against a call that lets go taking what the next read leaves: one that is under way goes first.
+
+        None is begun for a read that was given up, as its engine may still be at it: made then, the call took
+        the next read's state nine times in ten. It is made when its time comes, if the next has not arrived.
+        """
+        if site.role is Role.READER:
+            await self.releases.settled_within(taken.id, RELEASE_FIRST)
 
     def shot_over(self, taken: Held, site: Site, shot: int, ended: Ended) -> None:
         """A read lost or given up may have ended well: what it left counts as held from its end on."""
