--- a/runspool/decisions/lifecycle.py
+++ b/runspool/decisions/lifecycle.py
@@ -218,7 +218,7 @@
             self.held_since, self.letting_go = now, False
         elif ending in MAY_HAVE_READ:
             if arrived or self.held_since is None:
-                self.held_since = now
+                self.held_since, self.letting_go = now, False  # a call under way may have come before it
             # Closed here is not ended there: the engine may not have seen it yet, and end its read after.
             self.unsure = self.unsure or not arrived
 
--- a/runspool/node/node.py
+++ b/runspool/node/node.py
@@ -131,7 +131,7 @@
         """Against a call that lets go taking what the next read leaves: one that is under way goes first.
 
         None is begun for a read that was given up, as its engine may still be at it: made then, the call took
-        the next read's state nine times in ten. It is made when its time comes, if the next has not arrived.
+        the next read's state three times in four. It is made when its time comes, if the next has not arrived.
         """
         if site.role is Role.READER:
             await self.releases.settled_within(taken.id, RELEASE_FIRST)
