A soak of real nodes under overlapping faults; a call that lets go is made again after a close

Also: a start that waited 18 s for a port which a call going out had taken (before: exit 2), and a guard that answered 4 ms before the attempt's own time was up. Faulty lines: node.py, one call at the close and none after; carrying.py, answer_slack / 2 between the attempt's end and the guard.

--- a/runspool/decisions/lifecycle.py
+++ b/runspool/decisions/lifecycle.py
@@ -21,6 +21,7 @@
 SOCKET_SLACK = 3_000  # that the platform allows beyond the settings' time for letting go
 DEADLINE_KEPT = 1_000  # a deadline told to an engine must not be older than this when the last byte goes
 MAY_HAVE_READ = frozenset({Ending.OVERDUE, Ending.RECALLED, Ending.SEVERED, Ending.ERRORED})
+ENDED_HERE = frozenset({Ending.OVERDUE, Ending.RECALLED, Ending.SEVERED})  # as far as this side knows
 
 
 class Stage(Enum):
@@ -122,7 +123,7 @@
     held_since: int | None = None  # since when an engine holds, or may hold, something that nobody waits for
     letting_go: bool = False  # the call that lets it go is under way
     released: bool = False  # such a call has begun while the last attempt was out
-    unsure: bool = False  # a read was given up that may end later, whatever this side has closed
+    unsure: bool = False  # an attempt has ended here that may go on, and hold something, at its engine
 
     # Questions.
 
@@ -206,6 +207,9 @@
             return
         if ending not in NEVER_RAN and self.may_have_run is None:
             self.may_have_run = attempt
+        # Closed here is not ended there: a call to let go that overtakes the close finds an attempt waiting.
+        waited = self.released or self.held_since is not None
+        self.unsure = self.unsure or (waited and ending in ENDED_HERE)
         if ending is Ending.STATELESS:
             self.held_since = None
         elif self.released or (arrived and self.held_since is not None):
@@ -219,7 +223,7 @@
         elif ending in MAY_HAVE_READ:
             if arrived or self.held_since is None:
                 self.held_since, self.letting_go = now, False  # a call under way may have come before it
-            # Closed here is not ended there: the engine may not have seen it yet, and end its read after.
+            # Closed here is not ended there: the engine may end its read after.
             self.unsure = self.unsure or not arrived
 
     def release_begins(self) -> int | None:
--- a/runspool/node/node.py
+++ b/runspool/node/node.py
@@ -130,8 +130,9 @@
     async def before_attempt(self, taken: Held, site: Site) -> None:
         """Against a call that lets go taking what the next read leaves: one that is under way goes first.
 
-        None is begun for a read that was given up, as its engine may still be at it: made then, the call took
-        the next read's state three times in four. It is made when its time comes, if the next has not arrived.
+        None is begun for a read that was given up, as its engine may still be at it: made then, the call
+        took the next read's state three times in four. It is made when its time comes, unless the next read
+        is known to have arrived.
         """
         if site.role is Role.READER:
             await self.releases.settled_within(taken.id, RELEASE_FIRST)
@@ -161,7 +162,7 @@
                                 held_for=now() - (since or 0))
 
     def _may_still_read(self, taken: Held) -> bool:
-        """Whether a read that was given up may leave something behind that nothing else would let go of."""
+        """Whether an attempt that has ended here may leave something that nothing else would let go of."""
         attempt = taken.life.attempt
         return taken.life.unsure and taken.state_at is None and not (attempt is not None and attempt.out)
 
--- a/runspool/node/releasing.py
+++ b/runspool/node/releasing.py
@@ -25,7 +25,7 @@
 AGAIN_TOGETHER = 16  # requests asked about at once, as soon as one call has been confirmed
 REST, LONGEST_REST = 0.1, 1.0  # seconds between two rounds that nobody confirmed
 MOST_OWED = 10_000  # requests that wait for a later round; past them the oldest is given up, and said so
-REPEATS = (0.25, 1.5)  # seconds after which the call is made again where a read may have ended since
+REPEATS = (0.1, 0.4)  # seconds after which the call is made again where an attempt may have ended there since
 
 
 class Caller(Protocol):
@@ -36,8 +36,8 @@
 
 @dataclass(slots=True, eq=False)
 class Release:
-    """One request's call: where its state waits, what is told when an engine has confirmed it, and whether a
-    read may still end after that."""
+    """One request's call: where its state waits, what is told when an engine has confirmed it, and whether
+    an attempt may still end after that."""
 
     request: str
     site: Site
@@ -123,7 +123,7 @@
         return bool(done)
 
     async def _repeat(self, release: Release) -> None:
-        """A read whose connection was closed here may end there after the call: it is made again."""
+        """An attempt whose connection was closed here may end there after the call: it is made again."""
         for rest in REPEATS:
             if not release.unsure():
                 return
--- a/runspool/service/carrying.py
+++ b/runspool/service/carrying.py
@@ -30,6 +30,7 @@
 
 NAME_KEPT = 6_000_000  # tenths of a millisecond: a text unseen for so long is kept by no engine any more
 GUARD = "guard."
+GUARD_ROOM = 50  # tenths of a millisecond by which an attempt's time is up before the guard's turn comes
 HELD = "held."
 
 T = TypeVar("T", bound=Owed)
@@ -196,7 +197,7 @@
     async def _shot(self, taken: T, site: Site, cap: int) -> None:
         await self.before_attempt(taken, site)
         sent, shot = now(), taken.shots
-        limit = limit_of(cap, taken.limit - self.house.answer_slack - sent)
+        limit = limit_of(cap, taken.limit - self.house.answer_slack - GUARD_ROOM - sent)
         ended = Ended(ENDINGS[Mishap.CALLED_BACK], Mishap.CALLED_BACK)
         target = Target(site.engine, site.role, site.zone, site.rack)
         refusal = taken.life.refuses_attempt(sent, target)
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -1,4 +1,4 @@
-"""A proxy on loopback that stands before an engine and does what networks do: silence, delay, pieces.
+"""A proxy on loopback that stands before an engine and does what networks do: silence, delay, pieces, resets.
 
 The proxy's own kernel goes on to acknowledge what is sent to it, as that of a hung process does: a sender
 sees no error and no sign that its bytes have gone nowhere.
@@ -10,9 +10,11 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from itertools import count
 
 HOST = "127.0.0.1"
 PIECE = 65_536
+NUMBERS = count()
 
 
 @dataclass
@@ -22,14 +24,29 @@
     gate: asyncio.Event = field(default_factory=asyncio.Event)
     delay: float = 0.0  # seconds that each piece is held back
     piece: int = PIECE  # bytes passed on at a time
+    shut: int = 0  # faults that keep it shut, where several overlap
     silent_after: int | None = None  # bytes of a connection after which nothing more is passed on
 
     def __post_init__(self) -> None:
         self.gate.set()
 
 
+class EndingReader(asyncio.StreamReader):
+    """Tells at once when the peer has ended or been lost, read or not."""
+
+    ended: Callable[[], None] = staticmethod(lambda: None)
+
+    def feed_eof(self) -> None:
+        super().feed_eof()
+        self.ended()
+
+    def set_exception(self, exc: Exception) -> None:
+        super().set_exception(exc)
+        self.ended()
+
+
 class FaultProxy:
-    """Passes connections on to a port of this machine; `reset` and `close` raise nothing."""
+    """Passes connections on to a port of this machine; what it sees can be heard by a subclass."""
 
     def __init__(self, target: Callable[[], int]) -> None:
         self.target = target
@@ -39,8 +56,25 @@
         self.writers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
+    # What a subclass may hear, by the connection's number.
+
+    def came(self, number: int, data: bytes) -> None:
+        """Bytes have come from the node; they may be held back."""
+
+    def went(self, number: int, data: bytes) -> None:
+        """Bytes of an answer have been handed to the node's connection."""
+
+    def ended(self, number: int) -> None:
+        """The node has closed or reset the connection, or has been lost."""
+
     async def start(self) -> None:
-        self.server = await asyncio.start_server(self._serve, HOST, self.port)
+        loop = asyncio.get_running_loop()
+
+        def protocol() -> asyncio.StreamReaderProtocol:
+            reader = EndingReader(loop=loop)
+            return asyncio.StreamReaderProtocol(reader, self._serve, loop=loop)
+
+        self.server = await loop.create_server(protocol, HOST, self.port)
         self.port = int(self.server.sockets[0].getsockname()[1])
 
     def silence(self) -> None:
@@ -59,6 +93,7 @@
             writer.transport.abort()
 
     async def close(self) -> None:
+        """Takes no more connections and resets those that are open."""
         self.server.close()
         self.reset()
         for task in list(self.tasks):
@@ -66,8 +101,9 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
+        task, number = asyncio.current_task(), next(NUMBERS)
+        assert task is not None and isinstance(reader, EndingReader)
+        reader.ended = lambda: self.ended(number)
         self.tasks.add(task)
         self.writers.add(writer)
         beyond: asyncio.StreamWriter | None = None
@@ -75,18 +111,21 @@
             with suppress(OSError, asyncio.CancelledError):
                 answers, beyond = await asyncio.open_connection(HOST, self.target())
                 self.writers.add(beyond)
-                await self._both(reader, writer, answers, beyond)
+                await self._both(number, reader, writer, answers, beyond)
         finally:
             self.tasks.discard(task)
+            self.ended(number)
             for one in (writer, beyond):
                 if one is not None:
                     self.writers.discard(one)
                     one.transport.abort()
 
-    async def _both(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
+    async def _both(self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
                     answers: asyncio.StreamReader, beyond: asyncio.StreamWriter) -> None:
-        ways = [asyncio.ensure_future(self._pass(reader, beyond, self.to_engine)),
-                asyncio.ensure_future(self._pass(answers, writer, self.from_engine))]
+        ways = [asyncio.ensure_future(self._pass(reader, beyond, self.to_engine, lambda data: self.came(
+                    number, data), lambda data: None)),
+                asyncio.ensure_future(self._pass(answers, writer, self.from_engine, lambda data: None,
+                                                 lambda data: self.went(number, data)))]
         try:
             await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
         finally:
@@ -94,10 +133,11 @@
                 way.cancel()
             await asyncio.gather(*ways, return_exceptions=True)
 
-    async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
-                    how: Direction) -> None:
+    async def _pass(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, how: Direction,
+                    came: Callable[[bytes], None], went: Callable[[bytes], None]) -> None:
         passed = 0
         while data := await reader.read(how.piece):
+            came(data)
             if how.silent_after is not None and passed + len(data) > how.silent_after:
                 writer.write(data[:max(0, how.silent_after - passed)])
                 await asyncio.Event().wait()
@@ -105,5 +145,6 @@
                 await asyncio.sleep(how.delay)
             await how.gate.wait()
             writer.write(data)
+            went(data)
             passed += len(data)
             await writer.drain()
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -12,6 +12,7 @@
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field, replace
 from pathlib import Path
+from random import Random
 from typing import Any
 
 from runspool.node.posting import read_posting
@@ -475,6 +476,9 @@
 
 
 def free_port() -> int:
-    with socket.socket() as one:
-        one.bind((HOST, 0))
-        return int(one.getsockname()[1])
+    """One below those that the kernel takes for calls going out: a node that restarts finds it free again."""
+    while True:
+        port = Random().randrange(12_000, 20_000)
+        with socket.socket() as one, suppress(OSError):
+            one.bind((HOST, port))
+            return port
--- /dev/null
+++ b/tests/soak/nodes.py
@@ -0,0 +1,146 @@
+"""Real nodes of a soak: started as the deploy file does, each with an agent and edges of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+import os
+import signal
+import sys
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from tests.faults import HOST, FaultProxy
+from tests.platform import SETTINGS, free_port
+from tests.soak.world import SoakAgent, World
+
+READY_WITHIN = 10.0  # seconds that a start may take
+KILL_AFTER = 3.7  # seconds from SIGTERM to SIGKILL: the longest deadline, counted as 3 s at least, and 0.7
+FAULT_WORDS = (b"Traceback", b"_failed", b"rule_breached", b"answered_by_guard", b"release_abandoned")
+
+
+def soak_settings() -> dict[str, Any]:
+    """The tests' settings, with a class of each effect."""
+    settings = copy.deepcopy(SETTINGS)
+    settings["classes"].append(copy.deepcopy(settings["classes"][0]) | {
+        "name": "pay", "effect": "deduplicated", "window-us": 2_000_000})
+    settings["family-info"]["aim-us-per-1000-prompt-tokens"].append(40_000.0)
+    settings["family-info"]["token-aim-us"].append(60_000.0)
+    settings["realms"] = [{"name": "one", "fraction": 1.0, "quota-rps": 10_000.0}]
+    return settings
+
+
+@dataclass(eq=False)
+class SoakNode:
+    """One node process and what stands around it."""
+
+    world: World
+    name: str
+    folder: Path
+    sabotage: str = ""
+    preload: str = ""
+    edges: dict[str, FaultProxy] = field(default_factory=dict)
+    port: int = 0
+    log: bytes = b""
+    up: bool = False  # it is ready, and nobody has told it to end
+    ended_by_us: bool = False
+
+    async def prepare(self, edge: Callable[[str, str], FaultProxy]) -> None:
+        """Its edges, each made by its name and the engine's, and its agent."""
+        for engine in self.world.engines:
+            self.edges[engine] = edge(self.name, engine)
+            await self.edges[engine].start()
+        self.agent = SoakAgent(self.world, self.name, lambda engine: self.edges[engine].port)
+        await self.agent.start()
+        self.port = free_port()
+
+    def write_config(self) -> Path:
+        file = self.folder / f"{self.name}.json"
+        file.write_text(json.dumps({
+            "name": self.name, "listen": f"{HOST}:{self.port}", "discovery": f"{HOST}:{self.agent.port}",
+            "seed": f"{hash((self.world.seed, self.name)) & 0xFFFF:x}", "limits": {"sockets": 512},
+            "known": json.loads(self.agent.listed()), "settings": soak_settings()}))
+        return file
+
+    async def start(self) -> None:
+        """Returns when it is ready, or when it never will be."""
+        command = ["-m", "tests.soak.sabotage", self.sabotage] if self.sabotage else ["-m", "runspool.node"]
+        environment = os.environ | {"BALANCER_CONFIG": str(self.write_config()), "PYTHONPATH": os.getcwd()}
+        if self.preload:
+            environment |= {"LD_PRELOAD": self.preload, "SOAK_CLOCK": str(self.folder / "clock")}
+        began = asyncio.get_running_loop().time()
+        self.ended_by_us = False
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, *command, stderr=asyncio.subprocess.PIPE, env=environment)
+        self.logging = asyncio.ensure_future(self._read_log())
+        self.world.say("started", node=self.name)
+        while not await self.healthy():
+            if self.process.returncode is not None or asyncio.get_running_loop().time() - began > 30:
+                self.world.say("not_started", node=self.name, code=self.process.returncode)
+                return
+            await asyncio.sleep(0.05)
+        self.up = True
+        self.world.say("ready", node=self.name, took=asyncio.get_running_loop().time() - began)
+
+    async def healthy(self) -> bool:
+        """Whether it answers that it is ready, in a second."""
+        writer: asyncio.StreamWriter | None = None
+        try:
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection(HOST, self.port)
+                writer.write(b"GET /_health HTTP/1.1\r\nHost: n\r\nConnection: close\r\n\r\n")
+                return (await reader.readline()).startswith(b"HTTP/1.1 200")
+        except (OSError, TimeoutError):
+            return False
+        finally:
+            if writer is not None:
+                writer.transport.abort()
+
+    async def _read_log(self) -> None:
+        assert self.process.stderr is not None
+        async for line in self.process.stderr:
+            self.log += line
+            if any(word in line for word in FAULT_WORDS):
+                self.world.say("node_fault", node=self.name, line=line.decode()[:2_000])
+        code = await self.process.wait()
+        self.up = False
+        if not self.ended_by_us:
+            self.world.say("crashed", node=self.name, code=code)
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal; one that ends the process is noted first."""
+        if self.process.returncode is None:
+            if number in (signal.SIGTERM, signal.SIGKILL):
+                self.up, self.ended_by_us = False, True
+                self.world.say("told_to_end", node=self.name, kill=number is signal.SIGKILL)
+            with suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
+    async def restart(self, kill: bool) -> None:
+        """By SIGKILL, or by SIGTERM with a SIGKILL behind it; then it starts again from nothing."""
+        self.signal(signal.SIGKILL if kill else signal.SIGTERM)
+        await self.wait_end(KILL_AFTER)
+        await self.start()
+
+    async def wait_end(self, seconds: float) -> None:
+        """Until the process has ended; killed after a while."""
+        try:
+            async with asyncio.timeout(seconds):
+                await asyncio.shield(self.logging)
+        except TimeoutError:
+            self.world.say("killed_late", node=self.name)
+            self.signal(signal.SIGKILL)
+            await self.logging
+
+    async def close(self) -> None:
+        """Ends all of it."""
+        if self.process.returncode is None:
+            self.signal(signal.SIGTERM)
+            await self.wait_end(2 * KILL_AFTER)
+        self.agent.server.close()
+        for edge in self.edges.values():
+            await edge.close()
