--- a/runspool/service/carrying.py
+++ b/runspool/service/carrying.py
@@ -24,7 +24,7 @@
 from runspool.service.clock import now, unix_ms_at_zero
 from runspool.service.owed import Final, Kind, Owed, Site
 from runspool.service.quarter import Quarter
-from runspool.service.timers import Timers
+from runspool.service.timers import LATE, Timers
 from runspool.units import TENTHS
 from runspool.wire.listing import Entry, address_of
 
@@ -316,6 +316,15 @@
         if quarter is not None:
             quarter.drop(index)
 
+    def _note_guard(self, taken: T) -> None:
+        """The module answers before the guard does. Where it did not the client must not wait in vain; a
+        process that got no turn in time is short of CPU, or was stopped for a moment."""
+        late = now() - (taken.limit - self.house.answer_slack // 2)
+        if late > LATE:
+            self.log.warning("guard_late", query=taken.id, late_ms=late / 10)
+        else:
+            self.log.error("answered_by_guard", query=taken.id)
+
     def _watch_held(self, taken: T) -> None:
         """Has what is held looked at when its time to be let go of comes, an attempt out or not."""
         at = taken.life.let_go_at()
@@ -350,8 +359,7 @@
             if taken is not None and self.guarded(taken) and self._settle(taken, Final(
                     Kind.SCRAPPED, "out_of_time", "nothing is promised: it may or may not have run")):
                 if not taken.begun:
-                    # The module answers before this; if it ever does not, the client must not wait in vain.
-                    self.log.error("answered_by_guard", query=taken.id)
+                    self._note_guard(taken)
                 self._leave(taken)
             return
         token, _, name = token.rpartition("@")
