Starts are read by every wall clock that was seen; a fault in an answer is answered itself

By reading: an engine's start is read through the offset of the wall clock at that moment; a step of an hour makes a cold engine warm, or cold for an hour. A fault in the code that answers closed the connection of a request that had been read. Change: service/wallclock.py keeps the offsets seen; intake.py answers 500 where nothing was written yet, and counts the rest as a breach.

--- a/runspool/node/intake.py
+++ b/runspool/node/intake.py
@@ -6,7 +6,9 @@
 from dataclasses import dataclass
 
 import msgspec
+import structlog
 
+from runspool.decisions.lifecycle import Breach
 from runspool.node.asks import read_ask
 from runspool.node.node import Held, Node
 from runspool.service.clock import now
@@ -75,6 +77,21 @@
         return msgspec.json.encode({"error": {"code": code, "message": message}})
 
     async def route(self, request: Request, came: int) -> None:
+        self.answering = False
+        try:
+            await self._route(request, came)
+        except (Gone, TimeoutError, BadRequest):
+            raise
+        except Exception as fault:
+            # What has been read is owed an answer, also by a program with a fault in it.
+            structlog.get_logger().exception("client_failed", fault=repr(fault))
+            if self.answering:
+                self.node.breaches.count(Breach.CLOSED_UNANSWERED, reason=repr(fault))
+                raise Gone("a fault in the middle of an answer") from None
+            self.keeps_alive = False
+            await self.plain(SCRAPPED, self.error("fault", "nothing is promised: it may or may not have run"))
+
+    async def _route(self, request: Request, came: int) -> None:
         self.first = False
         if request.path == READY and request.method == "GET":
             await self.plain(503 if self.node.leaves_by else 200, b"{}")
--- a/runspool/service/carrying.py
+++ b/runspool/service/carrying.py
@@ -24,8 +24,8 @@
 from runspool.service.clock import now, unix_ms_at_zero
 from runspool.service.owed import Final, Kind, Owed, Site
 from runspool.service.quarter import Quarter
-from runspool.service.timers import LATE, Timers
-from runspool.units import TENTHS
+from runspool.service.timers import Timers
+from runspool.service.wallclock import WallClock
 from runspool.wire.listing import Entry, address_of
 
 NAME_KEPT = 6_000_000  # tenths of a millisecond: a text unseen for so long is kept by no engine any more
@@ -51,6 +51,7 @@
         self.lines: dict[str, Listed] = {}
         self.following = Following()
         self.timers = Timers(self._ring)
+        self.wall_clock = WallClock(lambda: unix_ms_at_zero())
         self.queries: dict[int, T] = {}
         self.arrived = 0
         self.closing = False
@@ -320,7 +321,7 @@
         """The module answers before the guard does. Where it did not the client must not wait in vain; a
         process that got no turn in time is short of CPU, or was stopped for a moment."""
         late = now() - (taken.limit - self.house.answer_slack // 2)
-        if late > LATE:
+        if late >= GUARD_ROOM:  # then the attempt's own time ran out in the same turn, and this came first
             self.log.warning("guard_late", query=taken.id, late_ms=late / 10)
         else:
             self.log.error("answered_by_guard", query=taken.id)
@@ -399,7 +400,7 @@
         if before is not None and self.sites[index].started_unix_ms == entry.started_unix_ms:
             since = before.started  # the wall clock may have been set since: still the same start
         else:
-            since = started(entry, unix_ms_at_zero())
+            since = self.wall_clock.started(entry.started_unix_ms, now())
         zone = self.zones.get(entry.zone, -2)
         self.sites[index] = Site(index, entry.engine, address, self.house.kinds[kind].role,
                                  entry.started_unix_ms, zone, entry.rack)
@@ -450,12 +451,3 @@
         if self.taken.final is not None:
             return await anyio.lowlevel.checkpoint()
         await self.front.passed(self.taken, self.taken.reply.said(piece))
-
-
-def started(entry: Entry, unix_ms_at_zero: float) -> int:
-    """An engine's start on the front's clock, in tenths of a millisecond, at least 1; 0 for long ago."""
-    if not entry.started_unix_ms:
-        return 0
-    return max(1, round((entry.started_unix_ms - unix_ms_at_zero) * TENTHS))
-
-
--- a/runspool/service/talk.py
+++ b/runspool/service/talk.py
@@ -49,6 +49,7 @@
         self.requests = Requests(bounds.head_bytes, bounds.query_bytes, self.ONCE_ONLY)
         self.write_time = bounds.answer_write_ms / 1000
         self.keeps_alive = True
+        self.answering = False  # something of the answer under way has been written
         self._wait: anyio.CancelScope | None = None  # for the next request's head
         self._begun = False  # some of that head has come
 
@@ -179,6 +180,7 @@
                 left -= len(await self.line.receive())
 
     async def out(self, data: bytes) -> None:
+        self.answering = True
         if not self.line.write(data):
             with anyio.fail_after(self.write_time):
                 await self.line.drained()
@@ -224,6 +226,7 @@
             self.watched = None
 
     async def pass_on(self, data: bytes) -> None:
+        self.talk.answering = True
         if self.talk.line.write(data):
             return
         self.torn = True
--- a/tests/test_rare.py
+++ b/tests/test_rare.py
@@ -318,6 +318,22 @@
         assert not node.queries and not platform.run.done()
 
 
+async def test_a_fault_while_a_request_is_answered_is_answered_itself(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def fails(*said: Any) -> None:
+        raise RuntimeError("a fault of the program")
+
+    platform = Platform(tmp_path, PAIR)
+    async with platform.inside() as running:
+        platform.engines["r"].scripts = [silent]
+        monkeypatch.setattr(Intake, "_answer", fails)
+        answer = await platform.ask(post("q1", req_deadline="300m"))
+        assert (answer.status, answer.headers["connection"], answer.whole) == (500, "close", True)
+        monkeypatch.undo()
+        assert (await platform.ask(post("q2"))).whole
+        assert not platform.run.done() and not running.node.queries
+
+
 # Clients that go. Nothing is sent on for them, and nothing of theirs stays held.
 
 
