What an attempt took up from one given up is let go of once more; wall clocks step in the soak

Faulty lines: node.py, shot_over() looked at reads alone. Change: as long as an attempt may go on elsewhere, each later one that ends without a stream is let go of after. tests/soak/clock.c steps the wall clock of the soak's nodes.

--- a/runspool/node/node.py
+++ b/runspool/node/node.py
@@ -45,7 +45,7 @@
 @dataclass(slots=True, kw_only=True)
 class Held(Owed):
     ask: Ask
-    maybe_read: Site | None = None  # where a read that was lost or given up may have left a state
+    maybe_read: Site | None = None  # where an attempt that was lost or given up may have left a state
 
 
 class Node(Carrying[Held]):
@@ -141,6 +141,9 @@
         """A read lost or given up may have ended well: what it left counts as held from its end on."""
         if site.role is Role.READER and ended.ending in MAY_HAVE_READ:
             taken.maybe_read = site
+        elif taken.life.unsure and not taken.begun:
+            # An earlier attempt ended here alone: what it left was perhaps taken up by this one, and left again.
+            taken.maybe_read = taken.maybe_read or site
         # A state that still waits goes with its own release: one call lets go of everything. What is behind
         # another attempt goes when its time comes, unless that attempt has arrived.
         if taken.maybe_read is not None and taken.shots == shot and taken.state_at is None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -5,10 +5,12 @@
 import argparse
 import asyncio
 import json
+import subprocess
 import sys
 from collections import Counter
 from dataclasses import asdict, dataclass
 from pathlib import Path
+from shutil import which
 from tempfile import TemporaryDirectory
 
 from runspool.lab.audit import Judged
@@ -100,6 +102,16 @@
             world.say("lag", late=round(loop.time() - due, 3))
 
 
+def clock_library(folder: Path) -> str:
+    """The library that steps wall clocks, built; empty where there is no C compiler."""
+    compiler, library = which("cc"), folder / "clock.so"
+    if compiler is None:
+        return ""
+    source = Path(__file__).with_name("clock.c")
+    subprocess.run([compiler, "-shared", "-fPIC", "-O1", "-o", str(library), str(source), "-ldl"], check=True)
+    return str(library)
+
+
 def play_now(soak: Soak, folder: Path) -> Result:
     """play() on a loop of its own."""
     return asyncio.run(play(soak, folder))
@@ -111,12 +123,13 @@
                                 ("rate", float, 8.0), ("each", float, 0.3)):
         parser.add_argument(f"--{name}", type=kind, default=default)
     parser.add_argument("--sabotage", default="")
-    parser.add_argument("--preload", default="", help="a library that steps the wall clock")
     parser.add_argument("--events", type=Path, help="where what was seen is written, a JSON object a line")
     said = vars(parser.parse_args())
     events = said.pop("events")
     with TemporaryDirectory() as folder:
-        result = play_now(Soak(**said), Path(folder))
+        preload = clock_library(Path(folder))
+        print("wall clocks " + ("step" if preload else "do not step: no C compiler"))
+        result = play_now(Soak(**said, preload=preload), Path(folder))
     for fault in result.faults:
         print(json.dumps(asdict(fault)))
     if events is not None:
--- a/tests/test_incident.py
+++ b/tests/test_incident.py
@@ -12,7 +12,9 @@
 import pytest
 
 from runspool.sockets.lines import Line, dial
-from tests.platform import GOOD, READ, WAIT, Platform, Request, Script, post, says, whole
+from tests.platform import (
+    GOOD, READ, WAIT, Platform, Request, Script, post, says, silent, whole,
+)
 
 pytestmark = pytest.mark.anyio
 PAIR = {"r": "prefill", "w": "decode"}
@@ -153,3 +155,17 @@
         write, = platform.shots("q1", "write")
         assert left - 0.2 < int(write.headers["req-deadline"].removesuffix("u")) / 1e6 < left + 0.1
         assert (await asyncio.wait_for(client.answer(), WAIT)).whole
+
+
+async def test_what_an_attempt_took_up_from_one_given_up_is_let_go_of_once_more(tmp_path: Path) -> None:
+    """Its engine may have found the state that the call before it had left to the attempt given up (soak)."""
+    platform = Platform(tmp_path, {"r": "prefill", "w": "decode", "m": "mixed"})
+    for name in "wm":
+        platform.engines[name].scripts = [silent] * 10
+    async with platform.open():
+        client = await platform.client()
+        client.send(post("q1", req_deadline="1500m"))
+        await platform.until(lambda: len(platform.shots("q1", "write")) >= 1)
+        assert (await client.answer()).status in (500, 503)
+        last = platform.seen.index(platform.shots("q1")[-1])
+        await platform.until(lambda: any(one.method == "DELETE" for one in platform.seen[last + 1:]))
