The guard leaves a turn to what is due as well; soaks side by side claim their ports

Seen: 25 soaks of 6 nodes: two guards 2 to 4 ms late at the end of a stop of 0.1 s (q304-271, q321-225), ahead of the attempt's own time, due in the same turn: 500 where the decisions' answer was at hand. Two soaks that drew one port: 105 requests of the other's clients, and a start that waited; the harness's fault. Change: once rung, the guard rings again 1 ms later; a port is claimed by the UDP port of its number.

--- a/runspool/node/node.py
+++ b/runspool/node/node.py
@@ -142,7 +142,7 @@
         if site.role is Role.READER and ended.ending in MAY_HAVE_READ:
             taken.maybe_read = site
         elif taken.life.unsure and not taken.begun:
-            # An earlier attempt ended here alone: what it left was perhaps taken up by this one, and left again.
+            # An earlier attempt ended here alone: what it left may have been taken up by this.
             taken.maybe_read = taken.maybe_read or site
         # A state that still waits goes with its own release: one call lets go of everything. What is behind
         # another attempt goes when its time comes, unless that attempt has arrived.
--- a/runspool/service/carrying.py
+++ b/runspool/service/carrying.py
@@ -30,6 +30,7 @@
 
 NAME_KEPT = 6_000_000  # tenths of a millisecond: a text unseen for so long is kept by no engine any more
 GUARD = "guard."
+GUARD_TURN = 10  # tenths of a millisecond that the guard leaves to what is due as well, once it has rung
 GUARD_ROOM = 50  # tenths of a millisecond by which an attempt's time is up before the guard's turn comes
 HELD = "held."
 
@@ -321,7 +322,7 @@
         """The module answers before the guard does. Where it did not the client must not wait in vain; a
         process that got no turn in time is short of CPU, or was stopped for a moment."""
         late = now() - (taken.limit - self.house.answer_slack // 2)
-        if late >= GUARD_ROOM:  # then the attempt's own time ran out in the same turn, and this came first
+        if late >= GUARD_ROOM:
             self.log.warning("guard_late", query=taken.id, late_ms=late / 10)
         else:
             self.log.error("answered_by_guard", query=taken.id)
@@ -356,6 +357,10 @@
             return
         if token.startswith(GUARD):
             taken = self.queries.get(int(token.removeprefix(GUARD)))
+            if taken is not None and not taken.guard_rang:
+                # After a moment without a turn all is due at once: the decisions' own answer goes first.
+                taken.guard_rang = True
+                return self.timers.at(now() + GUARD_TURN, token)
             # A begun stream is its client's; a whole answer not complete by now comes too late.
             if taken is not None and self.guarded(taken) and self._settle(taken, Final(
                     Kind.SCRAPPED, "out_of_time", "nothing is promised: it may or may not have run")):
--- a/runspool/service/owed.py
+++ b/runspool/service/owed.py
@@ -65,6 +65,7 @@
     state_at: Site | None = None  # the engine where the read state waits
     scope: anyio.CancelScope | None = None  # of the shot that is out
     begun: bool = False
+    guard_rang: bool = False
     final: Final | None = None
     done: anyio.Event = field(default_factory=anyio.Event)
     life: Lifecycle = field(default_factory=Lifecycle)
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -475,10 +475,20 @@
         self.set()
 
 
+CLAIMS: list[socket.socket] = []
+
+
 def free_port() -> int:
-    """One below those that the kernel takes for calls going out: a node that restarts finds it free again."""
+    """One below those that the kernel takes for calls going out: a node that restarts finds it free again. As
+    long as this process lives no other is given it: a claim is held, the UDP port of that number."""
     while True:
-        port = Random().randrange(12_000, 20_000)
-        with socket.socket() as one, suppress(OSError):
-            one.bind((HOST, port))
-            return port
+        port, claim = Random().randrange(12_000, 20_000), socket.socket(type=socket.SOCK_DGRAM)
+        try:
+            claim.bind((HOST, port))
+            with socket.socket() as one:
+                one.bind((HOST, port))
+        except OSError:
+            claim.close()
+            continue
+        CLAIMS.append(claim)
+        return port
