The guard leaves a turn only when it rings late

Seen: tests/test_stages.py, limit and cancel at one instant: the guard rung by hand did nothing at its first ring, on the commit before.

--- a/runspool/service/carrying.py
+++ b/runspool/service/carrying.py
@@ -30,7 +30,7 @@
 
 NAME_KEPT = 6_000_000  # tenths of a millisecond: a text unseen for so long is kept by no engine any more
 GUARD = "guard."
-GUARD_TURN = 10  # tenths of a millisecond that the guard leaves to what is due as well, once it has rung
+GUARD_TURN = 10  # tenths of a millisecond that the guard, if it is so late, leaves to what is due as well
 GUARD_ROOM = 50  # tenths of a millisecond by which an attempt's time is up before the guard's turn comes
 HELD = "held."
 
@@ -318,10 +318,13 @@
         if quarter is not None:
             quarter.drop(index)
 
+    def _guard_late(self, taken: T) -> int:
+        return now() - (taken.limit - self.house.answer_slack // 2)
+
     def _note_guard(self, taken: T) -> None:
         """The module answers before the guard does. Where it did not the client must not wait in vain; a
         process that got no turn in time is short of CPU, or was stopped for a moment."""
-        late = now() - (taken.limit - self.house.answer_slack // 2)
+        late = self._guard_late(taken)
         if late >= GUARD_ROOM:
             self.log.warning("guard_late", query=taken.id, late_ms=late / 10)
         else:
@@ -357,7 +360,7 @@
             return
         if token.startswith(GUARD):
             taken = self.queries.get(int(token.removeprefix(GUARD)))
-            if taken is not None and not taken.guard_rang:
+            if taken is not None and not taken.guard_rang and self._guard_late(taken) >= GUARD_TURN:
                 # After a moment without a turn all is due at once: the decisions' own answer goes first.
                 taken.guard_rang = True
                 return self.timers.at(now() + GUARD_TURN, token)
