Review: one set of endings, engines put in order only when asked, no unused ways

The endings that this side alone knows of stood three times (lifecycle.py twice, service/front.py): once now. A call to let go put all engines in order before it asked the first, a sort of thousands for nothing where that one confirms: the rest is put in order when it is needed. Left out: a schedule handed to a soak, which nobody did; a default clock; a repeated type. Behaviour, bounds and assertions are as before.

--- a/runspool/decisions/lifecycle.py
+++ b/runspool/decisions/lifecycle.py
@@ -20,8 +20,8 @@
 HOLD_MARGIN = 150  # before what is held must have been let go of
 SOCKET_SLACK = 3_000  # that the platform allows beyond the settings' time for letting go
 DEADLINE_KEPT = 1_000  # a deadline told to an engine must not be older than this when the last byte goes
-MAY_HAVE_READ = frozenset({Ending.OVERDUE, Ending.RECALLED, Ending.SEVERED, Ending.ERRORED})
 ENDED_HERE = frozenset({Ending.OVERDUE, Ending.RECALLED, Ending.SEVERED})  # as far as this side knows
+MAY_HAVE_READ = ENDED_HERE | {Ending.ERRORED}
 
 
 class Stage(Enum):
--- a/runspool/node/releasing.py
+++ b/runspool/node/releasing.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 from typing import Protocol
 
 import anyio
@@ -131,7 +132,7 @@
             if release.unsure():
                 await self._round(release, self._first_round(release.site))
 
-    async def _round(self, release: Release, engines: list[Site]) -> bool:
+    async def _round(self, release: Release, engines: Iterable[Site]) -> bool:
         """Asks one engine beside the other, each a while after the one before; whether any confirmed it."""
         patience = self.within // (2 * TRIES_IN_HALF) / (1000 * TENTHS)
         confirmed = False
@@ -151,9 +152,11 @@
                     await failed.wait()
         return confirmed
 
-    def _first_round(self, site: Site) -> list[Site]:
-        others = [other for other in self.engines() if other.address != site.address]
-        return [site, *others[:MOST_ENGINES - 1]]
+    def _first_round(self, site: Site) -> Iterator[Site]:
+        """The others are put in order only where the state's own engine has not confirmed at once."""
+        yield site
+        others = (other for other in self.engines() if other.address != site.address)
+        yield from islice(others, MOST_ENGINES - 1)
 
     def _next_engines(self) -> list[Site]:
         """Others each time, so that no part of the fleet that is cut off is all that is ever asked."""
--- a/runspool/service/front.py
+++ b/runspool/service/front.py
@@ -14,7 +14,8 @@
 from runspool.cells.chart import CellMap
 from runspool.cells.keeping import Asked, Keeping, Stay, Turned
 from runspool.cells.placing import Place
-from runspool.decisions.interface import Ending, Listed, Query, Role
+from runspool.decisions.interface import Listed, Query, Role
+from runspool.decisions.lifecycle import ENDED_HERE
 from runspool.engines.endings import Mishap
 from runspool.engines.exchange import Ended, Listener, Permit
 from runspool.engines.shots import Caller, State
@@ -227,7 +228,7 @@
         taken.state_at, taken.state = site, state
 
     def shot_over(self, taken: Taken, site: Site, shot: int, ended: Ended) -> None:
-        if site.role is Role.READER and ended.ending in (Ending.OVERDUE, Ending.RECALLED, Ending.SEVERED):
+        if site.role is Role.READER and ended.ending in ENDED_HERE:
             # The read may have ended while its answer was given up; named by its request, its state goes.
             self.spawn_release(self._let_go, site, None, f"{taken.id}.{shot}")
 
--- a/runspool/service/wallclock.py
+++ b/runspool/service/wallclock.py
@@ -10,7 +10,6 @@
 
 from collections.abc import Callable
 
-from runspool.service.clock import unix_ms_at_zero
 from runspool.units import TENTHS
 
 STEP_MS = 500.0  # two offsets that lie closer are the same: clocks are slewed too
@@ -21,7 +20,8 @@
 class WallClock:
     """The offsets seen, and starts read by them."""
 
-    def __init__(self, unix_ms_at_zero: Callable[[], float] = unix_ms_at_zero) -> None:
+    def __init__(self, unix_ms_at_zero: Callable[[], float]) -> None:
+        """`unix_ms_at_zero`: what the wall clock said, by its word now, when the monotonic one stood at 0."""
         self.unix_ms_at_zero = unix_ms_at_zero
         self.offsets: list[float] = []
 
--- a/tests/soak/crowd.py
+++ b/tests/soak/crowd.py
@@ -59,7 +59,7 @@
     async def _usual(self, node: SoakNode, name: str, leaves: bool) -> None:
         kind = self.random.choice(CLASSES)
         deadline = self.random.choice([0.7, 1.5, 2.5, 4.0])
-        body = b'{"prompt":"%b"}' % name.encode() * 1
+        body = b'{"prompt":"%b"}' % name.encode()
         client, new = await self._connection(node)
         data = post(name, kind, body, req_deadline=f"{int(deadline * 1000)}m", req_key=f"k{self.count % 40}")
         if self.random.random() < 0.1:  # in pieces
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -36,11 +36,6 @@
     each: float = 0.4  # seconds between two faults
     sabotage: str = ""
     preload: str = ""
-    faults: tuple[Fault, ...] | None = None  # in place of those drawn
-
-    def __post_init__(self) -> None:
-        if self.sabotage and self.faults is None:
-            object.__setattr__(self, "faults", at_stake(self.sabotage, self.nodes))
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,14 +51,14 @@
         return [rule for rule, judged in self.verdict.items() if judged.broken]
 
 
-def at_stake(rule: str, nodes: int) -> tuple[Fault, ...]:
+def at_stake(rule: str, nodes: int) -> list[Fault]:
     """Faults by which a rule comes to be at stake, so that a node which does not keep it is seen to."""
     everybody = tuple(range(nodes))
     readers = tuple(f"prefill-{at}" for at in range(8))
     writers = tuple(f"decode-{at}" for at in range(5))
     kind, engines = {"held": ("silence", writers), "gone": ("slow", readers), "drain": ("drain", readers[:2]),
                      "twice": ("failing", writers)}.get(rule, ("silence", writers[:2]))
-    return (Fault(0.5, kind, 4.0, engines, everybody),)
+    return [Fault(0.5, kind, 4.0, engines, everybody)]
 
 
 async def play(soak: Soak, folder: Path) -> Result:
@@ -71,8 +66,8 @@
     world = World(soak.seed)
     await world.start()
     nodes = [SoakNode(world, f"n{at}", folder, soak.sabotage, soak.preload) for at in range(soak.nodes)]
-    faults = list(soak.faults) if soak.faults is not None else schedule(
-        soak.seed, soak.seconds, world, soak.nodes, soak.each)
+    faults = (at_stake(soak.sabotage, soak.nodes) if soak.sabotage
+              else schedule(soak.seed, soak.seconds, world, soak.nodes, soak.each))
     lag = asyncio.ensure_future(_lag(world))
     try:
         for node in nodes:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,7 +21,10 @@
 VERDICT = re.compile(r"^(\w+): (\d+) cases, (\d+) broken$", re.MULTILINE)
 
 
-def soaked(*said: str) -> tuple[dict[str, tuple[int, int]], str]:
+Played = tuple[dict[str, tuple[int, int]], str]  # cases and breaks by rule, and all that was printed
+
+
+def soaked(*said: str) -> Played:
     """Cases and breaks by rule, and all that was printed."""
     done = subprocess.run([sys.executable, "-m", "tests.soak.run", *said], capture_output=True, text=True,
                           timeout=LONGEST, check=False)
@@ -30,7 +33,7 @@
 
 
 @pytest.fixture(scope="module")
-def soaks() -> Iterator[dict[str, Future[tuple[dict[str, tuple[int, int]], str]]]]:
+def soaks() -> Iterator[dict[str, Future[Played]]]:
     """All of them, a few at a time."""
     with ThreadPoolExecutor(AT_ONCE) as pool:
         played = {str(seed): pool.submit(soaked, f"--seed={seed}", "--seconds=8", "--nodes=5", "--each=0.4")
@@ -42,7 +45,7 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_nodes_keep_every_rule_under_overlapping_faults(
-        seed: int, soaks: dict[str, Future[tuple[dict[str, tuple[int, int]], str]]]) -> None:
+        seed: int, soaks: dict[str, Future[Played]]) -> None:
     verdict, said = soaks[str(seed)].result()
     assert set(verdict) == set(RULES), said
     assert not [rule for rule, (_, broken) in verdict.items() if broken], said
@@ -51,6 +54,6 @@
 
 @pytest.mark.parametrize("rule", RULES)
 def test_a_node_that_breaks_a_rule_is_refused_for_it(
-        rule: str, soaks: dict[str, Future[tuple[dict[str, tuple[int, int]], str]]]) -> None:
+        rule: str, soaks: dict[str, Future[Played]]) -> None:
     verdict, said = soaks[rule].result()
     assert verdict[rule][1] > 0, said
