A shutdown logs the kill it reckons with, each decision about open requests, and what is open

Seen: the incident's logs could not tell which requests were open at the kill, what was decided about them, nor what ran at the engines that the list named as started anew. Change: node_stopping has the times of the shutdown, shutdown_decision a line a request with the reason, engine_replaced the requests that ran there, node_stopped what was open. No decision changes.

--- a/runspool/node/executor.py
+++ b/runspool/node/executor.py
@@ -81,7 +81,6 @@
             self._count_release,
         )
         self.open_request_ids: set[str] = set()  # by the ids that clients gave them
-        self.shutdown_deadline = 0  # 0 while nobody has asked this node to stop
         self.scheduler = CellScheduler(CELL_NAME, settings.routing, config.seed, self, EventRecorder(None))
 
     # What comes in.
--- a/runspool/node/graceful_shutdown.py
+++ b/runspool/node/graceful_shutdown.py
@@ -12,7 +12,7 @@
 from runspool.node.config import NodeConfig
 from runspool.node.executor import NodeExecutor
 from runspool.service.clock import now
-from runspool.units import UNITS_PER_SECOND
+from runspool.units import TENTHS, UNITS_PER_SECOND
 
 # The platform kills a node no sooner after SIGTERM than its longest deadline, counted up to a bound, and then
 # KILL_DELAY.
@@ -43,12 +43,14 @@
         clients count them as accepted. Cancelled, it leaves the requests in progress to the caller.
         """
         executor = self.executor
-        self.log.info("node_stopping", node=self.config.name, requests=len(executor.requests))
         started = now()
         deadline = started + self._time_to_answer()
+        accept_until = started + self._accept_duration(started, deadline)
+        self._log_stopping(accept_until, deadline)
         executor.begin_shutdown(deadline)
-        await anyio.sleep(self._accept_duration(started, deadline) / UNITS_PER_SECOND)
+        await anyio.sleep((accept_until - now()) / UNITS_PER_SECOND)
         executor.closing = True
+        self.log.info("node_accepting_ended", **self._open_counts())
         with anyio.move_on_after(MAX_SHUTDOWN_SECONDS):
             with anyio.move_on_after((deadline - now()) / UNITS_PER_SECOND) as in_time:
                 await self._wait_until_idle()
@@ -59,6 +61,35 @@
                 executor.fail_all(begun=False)
                 await self._wait_until_idle()
 
+    def _log_stopping(self, accept_until: int, deadline: int) -> None:
+        self.log.info(
+            "node_stopping",
+            node=self.config.name,
+            **self._open_counts(),
+            accept_until_ms=(accept_until - now()) / TENTHS,
+            answer_until_ms=(deadline - now()) / TENTHS,
+            kill_expected_ms=(deadline + KILL_MARGIN - now()) / TENTHS,
+            streams_can_resume=self.executor.settings.streams_can_resume,
+        )
+
+    def _open_counts(self) -> dict[str, int]:
+        return {
+            "requests": len(self.executor.requests),
+            "streams": sum(pending.stream_started for pending in self.executor.requests.values()),
+            "connections": len(self.connections.handlers),
+            "answers": self.connections.busy_handlers,
+            "releases": self.executor.releases_in_progress,
+        }
+
+    def log_stopped(self) -> None:
+        """Logs the end of the shutdown, with what is still open and the counts of responses."""
+        self.log.info(
+            "node_stopped",
+            node=self.config.name,
+            open=self._open_counts(),
+            counts=dict(self.executor.counts),
+        )
+
     def _time_to_answer(self) -> int:
         longest = max(self.config.settings.deadlines) or MAX_COUNTED_DEADLINE
         return min(MAX_COUNTED_DEADLINE, longest) + KILL_DELAY - KILL_MARGIN
@@ -100,9 +131,8 @@
     def _log_timeout(self) -> None:
         self.log.warning(
             "node_stop_timed_out",
-            answers=self.connections.busy_handlers,
-            releases=self.executor.releases_in_progress,
-            requests={
+            **self._open_counts(),
+            first_requests={
                 pending.id: [
                     pending.stream_started,
                     pending.attempt_count,
--- a/runspool/node/server.py
+++ b/runspool/node/server.py
@@ -109,12 +109,13 @@
                 self._log_listening()
                 task_status.started(self.port)
                 await self.stopping.wait()
-                await GracefulShutdown(self.config, executor, self.connections).run()
+                shutdown = GracefulShutdown(self.config, executor, self.connections)
+                await shutdown.run()
+                shutdown.log_stopped()
                 tasks.cancel_scope.cancel()
         finally:
             executor.engine_client.pool.close()
             self.discovery.pool.close()
-        self.log.info("node_stopped", node=self.config.name, counts=dict(executor.counts))
 
     def stop(self) -> None:
         """Begins the graceful shutdown; run() returns at its end."""
--- a/runspool/service/attempt_runner.py
+++ b/runspool/service/attempt_runner.py
@@ -74,13 +74,14 @@
         result = _result_of(FailureCause.CANCELLED)
         with anyio.CancelScope() as scope:
             pending.attempt_scope = scope
+            pending.attempt_endpoint = endpoint
             permit = AttemptPermit(executor.registry, pending, endpoint)
             try:
                 result = await executor.run_exchange(pending, endpoint, attempt, sent_at, limit, permit)
             except Exception as fault:
                 executor.log.exception("attempt_failed", request=pending.id, fault=repr(fault))
                 result = _result_of(FailureCause.MALFORMED_RESPONSE, repr(fault))
-        pending.attempt_scope = None
+        pending.attempt_scope = pending.attempt_endpoint = None
         return result
 
     def _attempt_ended(
--- a/runspool/service/endpoint_registry.py
+++ b/runspool/service/endpoint_registry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import structlog
 
@@ -19,6 +19,24 @@
 UNKNOWN_ZONE = -2  # the list names a zone that is not configured
 
 
+@dataclass(frozen=True, slots=True)
+class EngineReplacement:
+    """An entry that says another process, role or address now stands behind an engine's name."""
+
+    before: Endpoint
+    after: Endpoint
+
+    @property
+    def reasons(self) -> list[str]:
+        """What has changed, as logs name it."""
+        changes = {
+            "started_anew": self.before.started_unix_ms != self.after.started_unix_ms,
+            "role": self.before.role is not self.after.role,
+            "address": self.before.address != self.after.address,
+        }
+        return [name for name, has_changed in changes.items() if has_changed]
+
+
 class EndpointRegistry:
     """Turns entries of the endpoint list into the scheduler's records and the endpoints of attempts.
 
@@ -43,14 +61,24 @@
         self.engine_records: dict[str, EngineRecord] = {}
         self.log = structlog.get_logger()
 
-    def apply(self, changed: Iterable[EndpointEntry]) -> None:
-        """Takes in the entries that have changed, and forgets the engines that were removed long ago."""
+    def apply(self, changed: Iterable[EndpointEntry]) -> list[EngineReplacement]:
+        """Takes in the entries that have changed, and forgets the engines that were removed long ago.
+
+        Returns the engines that were replaced by it.
+        """
+        replacements = []
         for entry in changed:
+            known = self.engine_records.get(entry.engine)
+            before = None if known is None else self.endpoints[known.engine]
             record = self.to_record(entry)
-            if record is not None:
-                self.engine_records.pop(entry.engine, None)
-                self.engine_records[entry.engine] = record
+            if record is None:
+                continue
+            self.engine_records.pop(entry.engine, None)
+            self.engine_records[entry.engine] = record
+            if before is not None:
+                replacements.append(EngineReplacement(before, self.endpoints[record.engine]))
         self._forget_removed()
+        return [replacement for replacement in replacements if replacement.reasons]
 
     def is_withdrawn(self, endpoint: Endpoint) -> bool:
         """Whether the engine is no longer READY in the list, or its name now stands for another one.
--- a/runspool/service/pending_request.py
+++ b/runspool/service/pending_request.py
@@ -84,6 +84,7 @@
     attempt_count: int = 0
     prefill_endpoint: Endpoint | None = None  # the engine where its prefill state waits
     attempt_scope: anyio.CancelScope | None = None  # of the attempt in progress
+    attempt_endpoint: Endpoint | None = None  # where that attempt was sent
     stream_started: bool = False
     guard_deferred: bool = False  # the deadline guard has once let the scheduler's own timers go first
     final_response: FinalResponse | None = None
--- a/runspool/service/request_executor.py
+++ b/runspool/service/request_executor.py
@@ -32,6 +32,7 @@
 from runspool.service.pending_request import FinalResponse, RequestT, ResponseKind
 from runspool.service.protocol_hooks import ProtocolHooks
 from runspool.service.release_check import ReleaseCheck
+from runspool.service.request_log import ShutdownDecision, log_replacements, log_shutdown_decision
 from runspool.service.task_spawner import TaskSpawner
 from runspool.service.timer_queue import (
     DeadlineGuardTimer,
@@ -77,6 +78,7 @@
         self.requests: dict[int, RequestT] = {}
         self.accepted_count = 0
         self.closing = False
+        self.shutdown_deadline = 0  # 0 while nobody has asked this process to stop
         self.idle = anyio.Event()
         self.counts: Counter[str] = Counter()
 
@@ -98,7 +100,9 @@
 
     def endpoints_changed(self, changed: list[EndpointEntry]) -> None:
         """Takes in changed entries of the endpoint list and gives the schedulers their engines."""
-        self.registry.apply(changed)
+        replacements = self.registry.apply(changed)
+        if replacements:
+            log_replacements(self.trace, replacements, self.requests.values())
         self.publish_engines()
 
     def intern_text(self, kind: str, name: str | None, at: int) -> int | None:
@@ -112,8 +116,10 @@
         """
         for pending in list(self.requests.values()):
             if pending.stream_started and not begun:
+                self._log_shutdown_decision(pending, ShutdownDecision.LEFT_OPEN, "its stream has begun")
                 continue
             if self.finish(pending, final_responses.front_stopped()):
+                self._log_shutdown_decision(pending, ShutdownDecision.FAILED, "the shutdown's last resort")
                 self._disconnect(pending)
 
     # Scheduler actions.
@@ -152,6 +158,8 @@
             return
         if self.finish(pending, final_responses.stream_migrated()):
             self.counts["migrated"] += 1
+            if self.shutdown_deadline:
+                self._log_shutdown_decision(pending, ShutdownDecision.MOVED, "the scheduler moved it")
             pending.cancel_attempt()
 
     def set_timer(self, timer: SchedulerTimer, at: int) -> None:
@@ -212,6 +220,9 @@
             )
         return True
 
+    def _log_shutdown_decision(self, pending: RequestT, decision: ShutdownDecision, reason: str) -> None:
+        log_shutdown_decision(self.log, pending, decision, reason, self.shutdown_deadline - now())
+
     def _disconnect(self, pending: RequestT) -> None:
         pending.cancel_attempt()
         self.notify_scheduler(
