A shutdown held up past the end of accepting sleeps no negative time

Line: anyio.sleep of accept_until - now(), which is negative once logging has taken its moment; anyio 4 raises ValueError then. The other waits were looked through: move_on_after takes negative times.

--- a/runspool/node/graceful_shutdown.py
+++ b/runspool/node/graceful_shutdown.py
@@ -48,7 +48,7 @@
         accept_until = started + self._accept_duration(started, deadline)
         self._log_stopping(accept_until, deadline)
         executor.begin_shutdown(deadline)
-        await anyio.sleep((accept_until - now()) / UNITS_PER_SECOND)
+        await anyio.sleep(max(0, accept_until - now()) / UNITS_PER_SECOND)
         executor.closing = True
         self.log.info("node_accepting_ended", **self._open_counts())
         with anyio.move_on_after(MAX_SHUTDOWN_SECONDS):
