A shutdown finds open streams by the requests, and ends what decisions left before the kill

Seen: streams at engines that the list named as started anew, or with another role, were open at SIGKILL. Ruled out: hung engines, a starved loop, unread answers, a wrong time of the kill (postmortem). Faulty lines: migrate_before_shutdown read engine.streams over front.engines; endpoint_updates replaced the record by an empty one; fail_all(begun=False) passed over all streams that had begun. Change: FrontState.open_attempts owns what is open; what was sent since an engine's start is counted at its new record. RequestLifecycle.deny_staying_open is the rule behind it, asked by node and front, its violations counted. The clock of a shutdown starts at the signal, followed from before the configuration is read; half-sent requests are refused, with 503; a scheduler that forgets a request unanswered has it answered. test_stale_record_does_not_make_a_busy_engine_look_idle had a start before the send, where the work runs on in the new process; it is as strict with the start after it, and the other order has a test of its own.

--- a/runspool/node/server.py
+++ b/runspool/node/server.py
@@ -23,6 +23,7 @@
 from runspool.node.discovery_client import DiscoveryClient
 from runspool.node.executor import ConnectionSettings, NodeExecutor
 from runspool.node.graceful_shutdown import GracefulShutdown
+from runspool.node.stop_request import StopRequest
 from runspool.service.accept_loop import accept_all
 from runspool.service.clock import now
 
@@ -46,11 +47,16 @@
     """A node with its listener, the client that follows the endpoint list, and its shutdown."""
 
     def __init__(
-        self, config: NodeConfig, read_config: Callable[[], NodeConfig], max_descriptors: int
+        self,
+        config: NodeConfig,
+        read_config: Callable[[], NodeConfig],
+        max_descriptors: int,
+        stop_request: StopRequest | None = None,
     ) -> None:
         """`read_config` reads the configuration anew for a reload, and raises InvalidNodeConfigError.
 
-        `max_descriptors` is how many file descriptors this process may hold.
+        `max_descriptors` is how many file descriptors this process may hold. `stop_request` may have come
+        before the server.
         """
         self.config = config
         self.read_config = read_config
@@ -74,16 +80,12 @@
             self.executor.scheduler.subscription_lost,
         )
         self.config_reloads = 0  # reloads begun; a reload gives up once another has begun
-        self.stopping = anyio.Event()
+        self.stop_request = stop_request or StopRequest()
+        self._reload_requested = False
         self.port = 0
 
-    async def run(
-        self,
-        signals: AsyncIterator[signal.Signals] | None = None,
-        *,
-        task_status: TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
-    ) -> None:
-        """Serves until stop() is called or a signal other than SIGHUP arrives, then shuts down gracefully.
+    async def run(self, *, task_status: TaskStatus[int] = anyio.TASK_STATUS_IGNORED) -> None:
+        """Serves until it is asked to stop, then shuts down gracefully; before it listens it ends at once.
 
         Reports the port it listens on through `task_status` once it accepts connections. Raises
         InvalidNodeConfigError where it cannot listen. Cancelled, it ends at once, without the shutdown; in
@@ -92,25 +94,30 @@
         executor = self.executor
         executor.endpoints_changed(executor.endpoint_tracker.restore(self.config.last_endpoints.engines))
         listener = await self._listen()
+        if listener is None:
+            return
         try:
             async with listener, anyio.create_task_group() as tasks:
                 executor.tasks = tasks
                 self.port = listener.extra(SocketAttribute.local_port)
                 self._start_standing_tasks(tasks)
-                if signals is not None:
-                    tasks.start_soon(self._handle_signals, signals)
+                if self._reload_requested:
+                    tasks.start_soon(self.reload_config)
                 # The list in the configuration may be from long ago. Requests accepted before a new one is
                 # here could be sent to engines that the discovery service has announced as leaving.
-                with anyio.move_on_after(FIRST_LIST_WAIT_SECONDS):
-                    await self.discovery.snapshot_received.wait()
+                await self._wait_for_first_list()
+                # Asked to stop before it could serve, the node refuses what its listener has taken.
+                accepts_requests = not self.stop_request.is_requested
                 for each in listener.listeners:
                     raw_socket = each.extra(SocketAttribute.raw_socket)
                     tasks.start_soon(accept_all, raw_socket, tasks, self.connections.serve)
                 self._log_listening()
                 task_status.started(self.port)
-                await self.stopping.wait()
-                shutdown = GracefulShutdown(self.config, executor, self.connections)
-                await shutdown.run()
+                await self.stop_request.wait()
+                shutdown = GracefulShutdown(
+                    self.config, executor, self.connections, self.stop_request.requested_at
+                )
+                await shutdown.run(accepts_requests)
                 shutdown.log_stopped()
                 tasks.cancel_scope.cancel()
         finally:
@@ -119,7 +126,26 @@
 
     def stop(self) -> None:
         """Begins the graceful shutdown; run() returns at its end."""
-        self.stopping.set()
+        self.stop_request.request()
+
+    def request_reload(self) -> None:
+        """Has the configuration read again, at the latest once the node listens."""
+        if self.executor.tasks is not None:
+            self.executor.tasks.start_soon(self.reload_config)
+        self._reload_requested = True
+
+    async def _wait_for_first_list(self) -> None:
+        """Waits for a whole list, but not for ever and not past a request to stop."""
+        with anyio.move_on_after(FIRST_LIST_WAIT_SECONDS):
+            async with anyio.create_task_group() as waits:
+
+                async def end_at_stop() -> None:
+                    await self.stop_request.wait()
+                    waits.cancel_scope.cancel()
+
+                waits.start_soon(end_at_stop)
+                await self.discovery.snapshot_received.wait()
+                waits.cancel_scope.cancel()
 
     async def reload_config(self) -> None:
         """Reads the configuration again and takes over the discovery service's address.
@@ -175,8 +201,8 @@
                 await anyio.sleep(delay)
                 delay = min(2 * delay, MAX_RESTART_DELAY_SECONDS)
 
-    async def _listen(self) -> MultiListener[SocketStream]:
-        """Opens the listener, and waits for a port that is in use.
+    async def _listen(self) -> MultiListener[SocketStream] | None:
+        """Opens the listener, and waits for a port that is in use; None where the node is to stop before.
 
         The process before this one may still hold it, or an outgoing connection may have it as its local
         port; both end. Raises InvalidNodeConfigError where that takes longer than PORT_WAIT_SECONDS, or the
@@ -185,7 +211,7 @@
         host, port = self.config.listen
         deadline = anyio.current_time() + PORT_WAIT_SECONDS
         has_logged = False
-        while True:
+        while not self.stop_request.is_requested:
             try:
                 return await anyio.create_tcp_listener(
                     local_host=host, local_port=port, backlog=LISTEN_BACKLOG
@@ -196,15 +222,8 @@
                 if not has_logged:
                     self.log.warning("port_held", listen=f"{host}:{port}")
                 has_logged = True
-            await anyio.sleep(PORT_RETRY_SECONDS)
-
-    async def _handle_signals(self, signals: AsyncIterator[signal.Signals]) -> None:
-        async for number in signals:
-            if number == signal.SIGHUP:
-                assert self.executor.tasks is not None
-                self.executor.tasks.start_soon(self.reload_config)
-            else:
-                self.stop()
+            await self.stop_request.wait(PORT_RETRY_SECONDS)
+        return None
 
     async def _close_idle_engine_connections(self) -> None:
         while True:
@@ -233,30 +252,64 @@
     return limit
 
 
-async def read_first_config(environ: Mapping[str, str]) -> NodeConfig:
-    """Reads the configuration at a start.
+async def read_first_config(environ: Mapping[str, str], stop_request: StopRequest) -> NodeConfig | None:
+    """Reads the configuration at a start; None where the node is to stop before.
 
     A file that is missing or half written is read again for CONFIG_RETRY_DURATION. Raises
     InvalidNodeConfigError.
     """
     deadline = now() + CONFIG_RETRY_DURATION
-    while True:
+    while not stop_request.is_requested:
         try:
             return read_node_config(environ)
         except UnreadableNodeConfigError:
             if now() > deadline:
                 raise
-        await anyio.sleep(CONFIG_RETRY_SECONDS)
+        await stop_request.wait(CONFIG_RETRY_SECONDS)
+    return None
 
 
-async def run_node(environ: Mapping[str, str]) -> None:
-    """Runs a node in this process until SIGTERM or SIGINT. Raises InvalidNodeConfigError."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        config = await read_first_config(environ)
+class NodeProcess:
+    """A node in this process: its signals are followed from before its configuration is read."""
+
+    def __init__(self, environ: Mapping[str, str]) -> None:
+        self.environ = environ
+        self.stop_request = StopRequest()
+        self.server: NodeServer | None = None
+
+    async def run(self) -> None:
+        """Runs until SIGTERM or SIGINT. Raises InvalidNodeConfigError."""
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            try:
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._follow_signals, signals)
+                    await self._serve()
+                    tasks.cancel_scope.cancel()
+            except* InvalidNodeConfigError as group:
+                raise group.exceptions[0] from None
+
+    async def _follow_signals(self, signals: AsyncIterator[signal.Signals]) -> None:
+        async for number in signals:
+            if number != signal.SIGHUP:
+                self.stop_request.request()
+            elif self.server is not None:  # before, the configuration is still to be read
+                self.server.request_reload()
+
+    async def _serve(self) -> None:
+        config = await read_first_config(self.environ, self.stop_request)
+        if config is None:
+            return
         max_descriptors = raise_descriptor_limit(config.max_descriptors)
-        server = NodeServer(config, lambda: read_node_config(environ), max_descriptors)
+        self.server = NodeServer(
+            config, lambda: read_node_config(self.environ), max_descriptors, self.stop_request
+        )
         # Exclude the objects that exist now, which stay, from garbage collection: each full collection would
         # stop the node for tens of milliseconds to look through them.
         gc.collect()
         gc.freeze()
-        await server.run(signals)
+        await self.server.run()
+
+
+async def run_node(environ: Mapping[str, str]) -> None:
+    """Runs a node in this process until SIGTERM or SIGINT. Raises InvalidNodeConfigError."""
+    await NodeProcess(environ).run()
--- a/runspool/scheduling/attempt_accounting.py
+++ b/runspool/scheduling/attempt_accounting.py
@@ -4,7 +4,7 @@
 
 from runspool.scheduling.engine_state import NO_PREFILL, Engine, QueuedPrefill
 from runspool.scheduling.fleet_statistics import memory_weight, tokens_of_other_fronts
-from runspool.scheduling.front_state import FrontState
+from runspool.scheduling.front_state import FrontState, OpenAttempt
 from runspool.scheduling.latency_estimator import record_prefill_rate, update, value_at
 from runspool.scheduling.outlier_detection import record_failure
 from runspool.scheduling.prefix_affinity import (
@@ -22,6 +22,7 @@
 
 def record_start(front: FrontState, request: Request, engine: Engine, prefill_engine: Engine | None) -> None:
     """Enter an attempt at its engine; `prefill_engine` holds the state of a decode attempt."""
+    front.open_attempts[request.index] = OpenAttempt(engine, front.now)
     front.active_engines[engine.id] = engine
     if prefill_engine is None:
         tokens = tokens_to_prefill(front, engine, request)
@@ -36,12 +37,13 @@
 def record_end(
     front: FrontState,
     request: Request,
-    engine: Engine,
     outcome: AttemptOutcome,
     prefill_engine: Engine | None,
 ) -> None:
     """Take an attempt off its engine, all but a stream that has started, and learn from its outcome."""
     status = outcome.status
+    attempt = front.open_attempts[request.index]
+    engine = attempt.engine
     _take_load_report(front, engine, outcome)
     if prefill_engine and prefill_engine.rack != engine.rack:
         _learn_transfer_delay(front, engine, outcome, prefill_engine)
@@ -60,8 +62,9 @@
         _learn_from_refusal(front, request, engine, outcome, tokens)
     elif status not in NOT_THE_ENGINES_FAULT:
         _learn_from_failure(front, engine, outcome, tokens, is_local_decode)
-    if status is not AttemptStatus.STREAM_STARTED:
-        engine.stream_tokens -= engine.streams.pop(request.index, 0)
+    attempt.is_streaming = status is AttemptStatus.STREAM_STARTED
+    if not attempt.is_streaming:
+        _forget_attempt(front, request)
     _forget_if_idle(front, engine)
 
 
@@ -138,12 +141,12 @@
 
 
 def record_stream_end(
-    front: FrontState, request: Request, engine: Engine, outcome: AttemptOutcome, prefill_duration: int
+    front: FrontState, request: Request, outcome: AttemptOutcome, prefill_duration: int
 ) -> None:
     """Take a stream off its engine; `prefill_duration` is 0 where another engine prefilled it."""
+    engine = front.open_attempts[request.index].engine
     _take_load_report(front, engine, outcome)
-    engine.stream_tokens -= engine.streams.pop(request.index, 0)
-    _forget_if_idle(front, engine)
+    _forget_attempt(front, request)
     if outcome.status is AttemptStatus.SUCCEEDED:
         _learn_from_answer(front, request, engine, outcome, prefill_duration)
     elif outcome.status is AttemptStatus.CONNECTION_LOST:
@@ -172,15 +175,20 @@
 
 
 def forget_request(front: FrontState, request: Request) -> None:
-    """Take all of a request off the engines, whatever it had there.
+    """Take all of a request off its engine, whatever it had there.
 
     An entry that nobody ends would make its engine look ever more overdue.
     """
-    for engine in list(front.active_engines.values()):
-        engine.waiting_decodes.pop(request.index, None)
-        engine.prefill_tokens -= engine.prefills.pop(request.index, NO_PREFILL).tokens
-        engine.stream_tokens -= engine.streams.pop(request.index, 0)
-        _forget_if_idle(front, engine)
+    if request.index in front.open_attempts:
+        _forget_attempt(front, request)
+
+
+def _forget_attempt(front: FrontState, request: Request) -> None:
+    engine = front.open_attempts.pop(request.index).engine
+    engine.waiting_decodes.pop(request.index, None)
+    engine.prefill_tokens -= engine.prefills.pop(request.index, NO_PREFILL).tokens
+    engine.stream_tokens -= engine.streams.pop(request.index, 0)
+    _forget_if_idle(front, engine)
 
 
 def _forget_if_idle(front: FrontState, engine: Engine) -> None:
--- a/runspool/scheduling/endpoint_updates.py
+++ b/runspool/scheduling/endpoint_updates.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from runspool.scheduling.engine_index import EngineIndex
-from runspool.scheduling.engine_state import Engine
+from runspool.scheduling.engine_state import Engine, move_attempt
 from runspool.scheduling.front_state import FrontState
 from runspool.scheduling.settings import EngineTypeSettings
 from runspool.scheduling.types import EndpointUpdate, EngineRecord, EngineState, Role
@@ -31,6 +31,7 @@
     engine_type = known_types[0] if known_types else EngineTypeSettings(Role.MIXED, 0)
     # A record older than what is known must not make a busy engine look idle, or a cold one warm.
     if engine is None or engine.started_at < record.started_at or engine.role is not engine_type.role:
+        replaced = engine
         engine = Engine(
             id=record.engine,
             stable_hash=record.stable_hash,
@@ -42,9 +43,26 @@
         )
         front.engines[record.engine] = engine
         front.active_engines.pop(record.engine, None)
+        if replaced is not None:
+            _carry_over_attempts(front, replaced, engine)
     engine.ready = record.state == EngineState.READY
 
 
+def _carry_over_attempts(front: FrontState, replaced: Engine, engine: Engine) -> None:
+    """Count at the new record what was sent since the engine started: it runs there.
+
+    The list tells of a start seconds later. What was sent before it ran in a process that is gone.
+    """
+    at_engine = replaced.prefills.keys() | replaced.streams.keys()
+    for index in sorted(at_engine, key=lambda index: front.open_attempts[index].sent_at):
+        attempt = front.open_attempts[index]
+        if attempt.sent_at < engine.started_at:
+            continue
+        attempt.engine = engine
+        front.active_engines[engine.id] = engine
+        move_attempt(index, replaced, engine)
+
+
 def _forget_departed_engines(front: FrontState) -> None:
     """Drop engines that left, all but the last: over weeks they would add up."""
     departed = [e.id for e in front.engines.values() if not (e.ready or e.prefills or e.streams)]
--- a/runspool/scheduling/engine_state.py
+++ b/runspool/scheduling/engine_state.py
@@ -66,6 +66,22 @@
     ejected_until: int = 0
 
 
+def move_attempt(request_index: int, source: Engine, target: Engine) -> None:
+    """Count a request's attempt at another record of its engine."""
+    if request_index in source.prefills:
+        prefill = source.prefills.pop(request_index)
+        source.prefill_tokens -= prefill.tokens
+        target.prefill_tokens += prefill.tokens
+        target.prefills[request_index] = prefill._replace(cumulative_tokens=target.prefill_tokens)
+    if request_index in source.waiting_decodes:
+        target.waiting_decodes[request_index] = source.waiting_decodes.pop(request_index)
+    if request_index in source.streams:
+        tokens = source.streams.pop(request_index)
+        source.stream_tokens -= tokens
+        target.stream_tokens += tokens
+        target.streams[request_index] = tokens
+
+
 @dataclass(slots=True)
 class RequestClassState:
     """A request class: its settings, and what this front has learned of its requests."""
--- a/runspool/scheduling/front_state.py
+++ b/runspool/scheduling/front_state.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from dataclasses import dataclass
 from random import Random
 from typing import NamedTuple
 
@@ -38,6 +39,15 @@
     updated_at: int = 0
 
 
+@dataclass(slots=True, eq=False)
+class OpenAttempt:
+    """A request's attempt that has not ended, or the stream that it has become."""
+
+    engine: Engine
+    sent_at: int
+    is_streaming: bool = False
+
+
 class FrontState:
     """The state that all decisions of one front share."""
 
@@ -47,6 +57,9 @@
         self.random = Random(seed).random
         self.now = 0
         self.engines: dict[int, Engine] = {}
+        self.open_attempts: dict[int, OpenAttempt] = {}
+        """By request index. Whatever is owed for a request is found here: an engine's own entries only count
+        its load, and go with its record."""
         self.seed = seed
         self.engine_index: EngineIndex[Engine] = EngineIndex((), seed)
         self.sample_count = 0  # samples of a large fleet that requests have looked at
--- a/runspool/scheduling/request_lifecycle.py
+++ b/runspool/scheduling/request_lifecycle.py
@@ -55,6 +55,9 @@
     OUTSIDE_DEDUPLICATION_SCOPE = "an earlier attempt may have executed outside this deduplication scope"
     DEDUPLICATION_WINDOW_OVER = "the deduplication window is over"
     STALE_DEADLINE = "the deadline in its header is too old"
+    UNANSWERED_AT_KILL = "it is unanswered, and the process may be killed"
+    RESUMABLE_AT_KILL = "its stream can be resumed elsewhere, and the process may be killed"
+    PROCESS_ENDS = "the process ends"
 
 
 class InvariantViolation(Enum):
@@ -64,6 +67,7 @@
     UNSAFE_REJECTION = "unsafe_rejection"  # a rejection would have promised that nothing was executed
     ANSWERED_TWICE = "answered_twice"
     STATE_RELEASED_LATE = "state_released_late"  # reserved state was not released in time
+    STREAM_LEFT_OPEN = "stream_left_open"  # decisions did not move a stream before the process may be killed
     CLOSED_UNANSWERED = (
         "closed_unanswered"  # a request was read, and its connection closed without a response
     )
@@ -78,6 +82,9 @@
     deduplication_window: int = 0
     max_attempts: int = 1_000
     state_release_timeout: int = 0  # 0: no timeout is set
+    stream_can_resume: bool = (
+        False  # its client asks for the rest of a stream that ends without its last chunk
+    )
 
     @classmethod
     def for_class(cls, settings: RoutingSettings, request_class: int) -> AttemptPolicy:
@@ -89,6 +96,7 @@
             row.deduplication_window,
             settings.max_attempts,
             settings.state_release_timeout,
+            settings.streams_can_resume,
         )
 
 
@@ -183,6 +191,20 @@
             return None
         return DenialReason.MAY_HAVE_EXECUTED
 
+    def deny_staying_open(self, process_ends: bool) -> DenialReason | None:
+        """Returns why the request may not stay open, now that the process may be killed; None where it may.
+
+        With `process_ends` the process is about to end by itself. A stream that cannot be resumed may stay
+        until then: to end it would lose what its engine still sends.
+        """
+        if self.answered:
+            return None
+        if process_ends:
+            return DenialReason.PROCESS_ENDS
+        if not self.streaming:
+            return DenialReason.UNANSWERED_AT_KILL
+        return DenialReason.RESUMABLE_AT_KILL if self.policy.stream_can_resume else None
+
     def release_due_at(self) -> int | None:
         """Returns when the release has to start, unless an engine receives an attempt first.
 
--- a/runspool/scheduling/scheduler.py
+++ b/runspool/scheduling/scheduler.py
@@ -131,10 +131,10 @@
         timeout = attempt_timeout(self, progress, engine)
         record_start(self, request, engine, prefill_engine)
         outcome: AttemptOutcome = yield StartAttempt(engine.id, timeout)
-        record_end(self, request, engine, outcome, prefill_engine)
+        record_end(self, request, outcome, prefill_engine)
         if outcome.status is AttemptStatus.STREAM_STARTED:
             completion: AttemptOutcome = yield AwaitCompletion()
-            record_stream_end(self, request, engine, completion, 0 if prefill_engine else outcome.duration)
+            record_stream_end(self, request, completion, 0 if prefill_engine else outcome.duration)
             return True
         if record_attempt(self, progress, engine, outcome, sent_at):
             yield ReleaseState()
--- a/runspool/scheduling/stream_migration.py
+++ b/runspool/scheduling/stream_migration.py
@@ -36,10 +36,9 @@
     """
     yield Sleep(max(front.now, deadline - SHUTDOWN_SPREAD))
     while front.settings.streams_can_resume:
-        # Those at draining engines too: nothing else would end them in time.
-        started = [
-            index for e in front.engines.values() for index in e.streams if index not in e.waiting_decodes
-        ]
+        # From the requests: an engine's own list goes with its record once the engine is started anew. Those
+        # at draining engines too: nothing else would end them in time.
+        started = [index for index, attempt in front.open_attempts.items() if attempt.is_streaming]
         is_late = front.now >= deadline
         newest = [max(started)] if started else []
         for index in started if is_late else newest:
--- a/runspool/service/front_server.py
+++ b/runspool/service/front_server.py
@@ -24,6 +24,7 @@
 from runspool.service.completions_handler import CompletionsHandler
 from runspool.service.front import Front
 from runspool.transport.tcp import ConnectionClosedError, TcpConnection
+from runspool.units import tenths
 from runspool.wire.completions import error_body
 from runspool.wire.endpoint_list import EndpointEntry
 
@@ -133,10 +134,11 @@
         """Waits for accepted requests, fails those over the drain time, and lets final answers be written."""
         front, settings = self.front, self.config.front
         self.log.info("front_stopping", front=settings.name, queries=len(front.requests))
+        front.shutdown_deadline = now() + tenths(settings.bounds.drain_ms)
         with anyio.move_on_after(settings.bounds.drain_ms / MS_PER_SECOND):
             while front.requests:
                 await front.idle.wait()
-        front.fail_all()
+        front.end_open_requests(process_ends=True)
         with anyio.move_on_after(FINAL_WRITE_TIME):
             # States are released too: a call cut off here leaves its state to the engine's own time-out.
             while True:
--- a/runspool/service/http_connection.py
+++ b/runspool/service/http_connection.py
@@ -83,6 +83,8 @@
         self._count_busy = count_busy
         self._head_wait: anyio.CancelScope | None = None  # set while the next request's head is waited for
         self._head_begun = False  # something of that head has been read
+        self._body_wait: anyio.CancelScope | None = None  # set while the rest of a body is waited for
+        self._refuses_incomplete = False  # the request of which a part has come is not waited for any longer
 
     @property
     @abstractmethod
@@ -130,19 +132,35 @@
         wait.cancel()
         return True
 
+    def refuse_incomplete(self) -> None:
+        """Ends the wait for the rest of a request of which only a part has come; its client is told so.
+
+        Nothing is done where something has come that was not read yet: it may be the rest.
+        """
+        if self._body_wait is not None:
+            if not self.tcp.has_unsolicited_data():
+                self._refuses_incomplete = True
+                self._body_wait.cancel()
+        elif self._head_begun and self.close_if_waiting(even_if_begun=True):
+            self._refuses_incomplete = True
+
     async def run(self) -> None:
         """Serves until the client disconnects, asks to close or sends an invalid request, or until `closing`.
 
         The caller closes the socket. Cancelled, it reports a request in progress as left by its client.
         """
         try:
-            while self.keeps_alive and not self.closing:
+            # What has been read is answered, also where the connection ends with the response before it.
+            while self.keeps_alive and (not self.closing or self._has_read_more()):
                 await self._serve_one()
         except (ConnectionClosedError, TimeoutError):
             return
         finally:
             self.requests.close()
 
+    def _has_read_more(self) -> bool:
+        return bool(self.requests.ready) or self.tcp.has_buffered_data
+
     async def _serve_one(self) -> None:
         try:
             request = await self._read_head()
@@ -185,7 +203,7 @@
                 self._head_wait = None
         if scope.cancelled_caught:
             if self._head_begun:
-                raise InvalidHttpRequestError(408, "head_time", "the request's head took too long")
+                raise self._incomplete_request_error("head_time", "the request's head took too long")
             # A request may have come just as the wait ended. It has been received, so it must be answered.
             return await self._read_head() if self.tcp.has_buffered_data else None
         return ready[0]
@@ -199,14 +217,22 @@
             return
         if request.expects_continue:
             await self.send(CONTINUE)
-        with anyio.CancelScope(deadline=self._deadline_after(self.limits.body_ms)):
-            while not request.complete:
-                try:
-                    self.requests.feed(await self.tcp.receive())
-                except ConnectionClosedError:
-                    raise InvalidHttpRequestError(400, "malformed", "the body ends early") from None
-            return
-        raise InvalidHttpRequestError(408, "body_time", "the body took too long")
+        with anyio.CancelScope(deadline=self._deadline_after(self.limits.body_ms)) as self._body_wait:
+            try:
+                while not request.complete:
+                    try:
+                        self.requests.feed(await self.tcp.receive())
+                    except ConnectionClosedError:
+                        raise InvalidHttpRequestError(400, "malformed", "the body ends early") from None
+                return
+            finally:
+                self._body_wait = None
+        raise self._incomplete_request_error("body_time", "the body took too long")
+
+    def _incomplete_request_error(self, code: str, message: str) -> InvalidHttpRequestError:
+        if self._refuses_incomplete:
+            return InvalidHttpRequestError(503, "closing", "this server is stopping; ask another")
+        return InvalidHttpRequestError(408, code, message)
 
     async def send_response(
         self, status: int, body: bytes, headers: list[tuple[str, str]] | None = None
--- a/runspool/service/pending_request.py
+++ b/runspool/service/pending_request.py
@@ -86,6 +86,7 @@
     attempt_scope: anyio.CancelScope | None = None  # of the attempt in progress
     attempt_endpoint: Endpoint | None = None  # where that attempt was sent
     stream_started: bool = False
+    left_open: bool = False  # a shutdown has left its stream to run on
     guard_deferred: bool = False  # the deadline guard has once let the scheduler's own timers go first
     final_response: FinalResponse | None = None
     done: anyio.Event = field(default_factory=anyio.Event)
--- a/runspool/service/request_executor.py
+++ b/runspool/service/request_executor.py
@@ -18,6 +18,7 @@
 from runspool.runtime.interning import Interner
 from runspool.scheduling.request_lifecycle import (
     AttemptPolicy,
+    DenialReason,
     InvariantMonitor,
     InvariantViolation,
     RequestLifecycle,
@@ -109,18 +110,37 @@
         """The index of a text, by its kind and name; None where it has no name."""
         return None if name is None else self.text_interner.intern(kind + name, at)
 
-    def fail_all(self, begun: bool = True) -> None:
-        """The last resort of a shutdown: answers every open request as indeterminate.
+    def end_open_requests(self, process_ends: bool = False, streams: bool = True) -> None:
+        """The last resort of a shutdown: ends every request that may not stay open, whatever decisions did.
 
-        Without `begun`, requests whose streams have begun are left alone.
+        Without `streams`, those whose streams have begun are left to decisions for now. `process_ends` is as
+        in RequestLifecycle.deny_staying_open().
         """
         for pending in list(self.requests.values()):
-            if pending.stream_started and not begun:
-                self._log_shutdown_decision(pending, ShutdownDecision.LEFT_OPEN, "its stream has begun")
+            if pending.final_response is not None or (pending.stream_started and not streams):
                 continue
-            if self.finish(pending, final_responses.front_stopped()):
-                self._log_shutdown_decision(pending, ShutdownDecision.FAILED, "the shutdown's last resort")
-                self._disconnect(pending)
+            denial = pending.lifecycle.deny_staying_open(process_ends)
+            if denial is None:
+                self._leave_open(pending)
+            else:
+                self._end_open_request(pending, denial)
+
+    def _leave_open(self, pending: RequestT) -> None:
+        if not pending.left_open:
+            pending.left_open = True
+            self._log_shutdown_decision(
+                pending, ShutdownDecision.LEFT_OPEN, "its stream cannot be resumed elsewhere"
+            )
+
+    def _end_open_request(self, pending: RequestT, denial: DenialReason) -> None:
+        self._log_shutdown_decision(pending, ShutdownDecision.ENDED, denial.value)
+        if denial is DenialReason.RESUMABLE_AT_KILL:
+            # Decisions move such streams in time; ended here, the stream is not lost, but they have failed.
+            self.invariants.record(
+                InvariantViolation.STREAM_LEFT_OPEN, request=pending.id, reason=denial.value
+            )
+        if self.finish(pending, final_responses.front_stopped()):
+            self._disconnect(pending)
 
     # Scheduler actions.
 
@@ -172,7 +192,14 @@
 
     def forget_request(self, request: int) -> None:
         """Forgets a request whose scheduler is done with it."""
-        self.after_request(self.requests.pop(request))
+        pending = self.requests.pop(request)
+        if pending.final_response is None:
+            # Nobody else would ever answer it: its client's connection waits for the final response.
+            self.invariants.record(
+                InvariantViolation.CLOSED_UNANSWERED, request=pending.id, reason="its scheduler forgot it"
+            )
+            self.finish(pending, final_responses.scheduler_failed())
+        self.after_request(pending)
         if not self.requests:
             self.idle.set()
             self.idle = anyio.Event()
--- a/runspool/service/request_log.py
+++ b/runspool/service/request_log.py
@@ -21,7 +21,7 @@
     """What a shutdown does with an open request; the value is the one in logs."""
 
     MOVED = "moved"  # its stream is ended for its client to resume it at another node
-    FAILED = "failed"  # it is answered as indeterminate
+    ENDED = "ended"  # it is answered as indeterminate, or its stream is cut
     LEFT_OPEN = "left_open"
 
 
--- a/tests/test_endpoint_updates.py
+++ b/tests/test_endpoint_updates.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import pytest
+
 from runspool.scheduling.endpoint_updates import DEPARTED_ENGINES_KEPT
 from runspool.scheduling.engine_state import Engine
+from runspool.scheduling.time_units import SECOND
 from runspool.scheduling.transfer_cost import transfer_delay
-from runspool.scheduling.types import EndpointUpdate, EngineRecord, EngineState
+from runspool.scheduling.types import AttemptStatus, EndpointUpdate, EngineRecord, EngineState
 from tests.fake_scheduler_host import DECODE, PREFILL, FakeSchedulerHost
 
 
@@ -15,10 +18,36 @@
     request = host.submit()
     host.update_engine(0, started_at=400)
     assert list(host.driver.scheduler.engines[0].prefills) == [request]
-    host.update_engine(0, started_at=600)  # a new process has nothing to prefill
+    host.advance(10)
+    host.update_engine(0, started_at=host.now)  # a new process has nothing to prefill
     assert not host.driver.scheduler.engines[0].prefills
 
 
+@pytest.mark.parametrize("stage", ["prefill", "waiting", "streaming"])
+@pytest.mark.parametrize("sent_before_start", [True, False])
+def test_what_was_sent_to_an_engine_since_it_started_is_counted_there_until_it_ends(
+    sent_before_start: bool, stage: str
+) -> None:
+    host = FakeSchedulerHost([PREFILL, DECODE])
+    scheduler = host.driver.scheduler
+    request = host.submit()
+    if stage != "prefill":
+        host.end_attempt(request, AttemptStatus.PREFILL_COMPLETE)
+    if stage == "streaming":
+        host.start_stream(request)
+    number = host.engine_of(request)
+    before = scheduler.engines[number]
+    counted = (before.prefill_tokens, before.stream_tokens)
+    host.advance(SECOND)
+    start = host.now if sent_before_start else host.now - 2 * SECOND
+    host.update_engine(number, started_at=start)  # the list tells it late
+    now = scheduler.engines[number]
+    assert (now.prefill_tokens, now.stream_tokens) == ((0, 0) if sent_before_start else counted)
+    host.end_attempt(request, AttemptStatus.CANCELLED, finished=True)
+    assert not (now.prefills or now.streams or now.waiting_decodes or now.prefill_tokens or now.stream_tokens)
+    assert not (scheduler.active_engines or scheduler.open_attempts)
+
+
 def test_engine_listed_again_with_another_role_is_selected_for_that() -> None:
     host = FakeSchedulerHost([PREFILL, PREFILL, DECODE])
     record = EngineRecord(1, DECODE, 0, 0, 0, EngineState.READY)
--- a/tests/test_node_stop_before_kill.py
+++ b/tests/test_node_stop_before_kill.py
@@ -16,7 +16,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
+import sys
 from collections.abc import Awaitable, Callable, Coroutine, Generator
 from contextlib import suppress
 from pathlib import Path
@@ -27,9 +29,11 @@
 from runspool.node import graceful_shutdown
 from runspool.scheduling import scheduler
 from runspool.scheduling.actions import Action, Sleep
+from tests.fault_proxy import HOST
 from tests.node_platform.client import post
-from tests.node_platform.http_messages import EVENTS, STREAM_HEAD, ReceivedRequest, chunked
-from tests.node_platform.inspection import settings_with_deadline
+from tests.node_platform.engine import streams_until
+from tests.node_platform.http_messages import EVENTS, STREAM_HEAD, WAIT, ReceivedRequest, chunked
+from tests.node_platform.inspection import settings_with_deadline, until
 from tests.node_platform.platform import Platform
 
 pytestmark = pytest.mark.anyio
@@ -220,3 +224,53 @@
         running.stop()
         await asyncio.wait([end], timeout=0.8)
         assert end.done()
+
+
+async def test_a_stream_that_cannot_be_resumed_runs_to_its_end_past_the_last_resort(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(graceful_shutdown, "MAX_COUNTED_DEADLINE", 1_000)
+    monkeypatch.setattr(graceful_shutdown, "MIN_ACCEPT_DURATION", 1_000)
+    platform = platform_with(tmp_path, 6_000)
+    platform.settings["family-info"]["resume"] = False
+    proceed = asyncio.Event()
+    async with platform.inside() as running:
+        platform.engines["w"].scripts = [streams_until(proceed)]
+        client = await platform.client()
+        client.send(post("q1"))
+        response = await client.read_head()
+        running.stop()
+        await until(lambda: any(pending.left_open for pending in running.executor.requests.values()))
+        proceed.set()
+        assert (await client.read_body(response)).complete
+        await asyncio.wait_for(platform.run, WAIT)
+        assert not running.executor.invariants.counts
+
+
+@pytest.mark.parametrize("held", ["port", "configuration"])
+async def test_a_node_told_to_stop_before_it_listens_ends_at_once(held: str, tmp_path: Path) -> None:
+    platform = platform_with(tmp_path, 6_000)
+    async with await asyncio.start_server(lambda reader, writer: None, HOST, 0) as occupant:
+        platform.port = occupant.sockets[0].getsockname()[1]
+        file = platform.write_config(known={"index": 1, "snapshot": True, "endpoints": []}, discovery="a:1")
+        if held == "configuration":
+            file.unlink()
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "runspool.node"), env=os.environ | {"BALANCER_CONFIG": str(file)}
+        )
+        try:
+            await until(lambda: catches_sigterm(process.pid))
+            process.terminate()
+            async with asyncio.timeout(2.5):  # the port is waited for 20 s, the configuration 3 s
+                assert await process.wait() == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+
+def catches_sigterm(pid: int) -> bool:
+    """Return whether a process has installed a handler for SIGTERM."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    caught = next(line for line in lines if line.startswith("SigCgt"))
+    return bool(int(caught.split()[1], 16) & 1 << (signal.SIGTERM - 1))
--- a/tests/test_request_lifecycle.py
+++ b/tests/test_request_lifecycle.py
@@ -263,3 +263,26 @@
     release_timeout: int, default: int, expected: int
 ) -> None:
     assert reservation_time(release_timeout, default) == expected
+
+
+@pytest.mark.parametrize(
+    ("stage", "can_resume", "process_ends", "denial"),
+    [
+        ("unanswered", True, False, DenialReason.UNANSWERED_AT_KILL),
+        ("unanswered", False, False, DenialReason.UNANSWERED_AT_KILL),
+        ("streaming", True, False, DenialReason.RESUMABLE_AT_KILL),
+        ("streaming", False, False, None),
+        ("streaming", False, True, DenialReason.PROCESS_ENDS),
+        ("answered", True, False, None),
+        ("answered", False, True, None),
+    ],
+)
+def test_what_may_stay_open_as_the_process_may_be_killed(
+    stage: str, can_resume: bool, process_ends: bool, denial: DenialReason | None
+) -> None:
+    lifecycle = RequestLifecycle(AttemptPolicy(stream_can_resume=can_resume))
+    if stage == "streaming":
+        lifecycle.stream_started()
+    if stage == "answered":
+        lifecycle.mark_answered()
+    assert lifecycle.deny_staying_open(process_ends) is denial
