Soak: clients until the kill, the kill at its earliest, engines started anew, long streams, signals in series

Seen: the soak's engines never started anew, its streams were over long before a kill that came at 3.7 s whatever the deadlines, its clients left a stopping node at once, and its judge excused all of a stopping node. Change: deadlines, long streams, resumption and idle clients are drawn by the seed; faults come while nodes stop; the rule 'stopped' and cut streams that cannot be resumed are judged, with three sabotaged nodes that the judge refuses. Related: an attempt whose engine got another address or role while it connected is not sent; its test was the drain's, now with these cases beside it.

--- a/runspool/node/server.py
+++ b/runspool/node/server.py
@@ -280,13 +280,16 @@
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT. Raises InvalidNodeConfigError."""
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            try:
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(self._follow_signals, signals)
+            unusable: InvalidNodeConfigError | None = None  # raised here, as a task group would wrap it
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._follow_signals, signals)
+                try:
                     await self._serve()
-                    tasks.cancel_scope.cancel()
-            except* InvalidNodeConfigError as group:
-                raise group.exceptions[0] from None
+                except InvalidNodeConfigError as error:
+                    unusable = error
+                tasks.cancel_scope.cancel()
+            if unusable is not None:
+                raise unusable
 
     async def _follow_signals(self, signals: AsyncIterator[signal.Signals]) -> None:
         async for number in signals:
--- a/runspool/service/endpoint_registry.py
+++ b/runspool/service/endpoint_registry.py
@@ -83,10 +83,14 @@
     def is_withdrawn(self, endpoint: Endpoint) -> bool:
         """Whether the engine is no longer READY in the list, or its name now stands for another one.
 
-        An attempt asks this once it is connected: connecting may take longer than a drain's grace period.
+        That is so too where it has another address or role. An attempt asks this once it is connected:
+        connecting may take longer than a drain's grace period.
         """
         record = self.engine_records.get(endpoint.name)
-        return record is None or record.engine != endpoint.index or record.state != EngineState.READY
+        if record is None or record.engine != endpoint.index or record.state != EngineState.READY:
+            return True
+        listed = self.endpoints[record.engine]
+        return listed.address != endpoint.address or listed.role is not endpoint.role
 
     def to_record(self, entry: EndpointEntry) -> EngineRecord | None:
         """The scheduler's record of an entry, whose endpoint is updated too.
--- a/tests/fault_proxy.py
+++ b/tests/fault_proxy.py
@@ -11,6 +11,7 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from itertools import count
+from typing import Any
 
 HOST = "127.0.0.1"
 PIECE = 65_536
@@ -32,10 +33,17 @@
 
 
 class NotifyingReader(asyncio.StreamReader):
-    """Reports at once when the peer has ended or been lost, read or not."""
+    """Reports at once what comes, and when the peer has ended or been lost, read or not."""
 
+    number = 0  # of the connection
+    on_data: Callable[[bytes], None] = staticmethod(lambda data: None)
     on_end: Callable[[], None] = staticmethod(lambda: None)
 
+    def feed_data(self, data: Any) -> None:
+        """Report bytes as they come: reading them may be held back."""
+        self.on_data(data)
+        super().feed_data(data)
+
     def feed_eof(self) -> None:
         """Report the end after it has been taken in."""
         super().feed_eof()
@@ -75,6 +83,8 @@
 
         def protocol() -> asyncio.StreamReaderProtocol:
             reader = NotifyingReader(loop=loop)
+            number = reader.number = next(CONNECTION_NUMBERS)
+            reader.on_data = lambda data: self.on_request_bytes(number, data)
             return asyncio.StreamReaderProtocol(reader, self._serve, loop=loop)
 
         self.server = await loop.create_server(protocol, HOST, self.port)
@@ -104,8 +114,9 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task, number = asyncio.current_task(), next(CONNECTION_NUMBERS)
+        task = asyncio.current_task()
         assert task is not None and isinstance(reader, NotifyingReader)
+        number = reader.number
         reader.on_end = lambda: self.on_end(number)
         self.tasks.add(task)
         self.writers.add(writer)
@@ -133,18 +144,13 @@
     ) -> None:
         """Forward until one side ends; what the other still sends is dropped."""
 
-        def request_bytes_came(data: bytes) -> None:
-            self.on_request_bytes(number, data)
-
         def response_bytes_passed(data: bytes) -> None:
             self.on_response_bytes(number, data)
 
         directions = [
+            asyncio.ensure_future(self._forward(reader, engine_writer, self.to_engine, _ignore)),
             asyncio.ensure_future(
-                self._forward(reader, engine_writer, self.to_engine, request_bytes_came, _ignore)
-            ),
-            asyncio.ensure_future(
-                self._forward(engine_reader, writer, self.from_engine, _ignore, response_bytes_passed)
+                self._forward(engine_reader, writer, self.from_engine, response_bytes_passed)
             ),
         ]
         try:
@@ -159,12 +165,10 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         direction: Direction,
-        on_received: Callable[[bytes], None],
         on_passed: Callable[[bytes], None],
     ) -> None:
         passed = 0
         while data := await reader.read(direction.piece):
-            on_received(data)
             if direction.silent_after is not None and passed + len(data) > direction.silent_after:
                 writer.write(data[: max(0, direction.silent_after - passed)])
                 await asyncio.Event().wait()
--- a/tests/node_platform/engine.py
+++ b/tests/node_platform/engine.py
@@ -63,11 +63,12 @@
         self.server: asyncio.Server
         self.port = 0
         self.proxy: FaultProxy | None = None  # where the endpoint list sends nodes, if there is one
+        self.announced_port = 0  # what the endpoint list names instead, if it is set
 
     @property
     def listed_port(self) -> int:
         """The port that the endpoint list names."""
-        return self.port if self.proxy is None else self.proxy.port
+        return self.announced_port or (self.port if self.proxy is None else self.proxy.port)
 
     async def start(self) -> None:
         """Listen, behind the proxy if there is one."""
--- a/tests/soak/client_workload.py
+++ b/tests/soak/client_workload.py
@@ -14,9 +14,14 @@
 CLASSES = ("ask", "ask", "book", "pay")
 DISCONNECTING_SHARE = 0.07  # of clients, that disconnect before they are answered
 MALFORMED_SHARE = 0.04
-REUSED_CONNECTION_SHARE = 0.8
+REUSED_CONNECTION_SHARE = 0.6
 SPLIT_REQUEST_SHARE = 0.1
 GRACE = 2.0  # seconds beyond a deadline that a client still listens, so that a late answer is seen as one
+LONGEST_WAIT = (
+    22.0  # seconds that a client waits for the end of its stream, silence and slow engines included
+)
+CONNECTS_AFTER_STOP = 0.3  # seconds after SIGTERM that new connections still come
+DEADLINE_SHARES = (0.25, 0.4, 0.65, 1.0)  # of the longest deadline
 
 
 class ClientWorkload:
@@ -39,18 +44,53 @@
     async def run(self, seconds: float) -> None:
         """Begin requests for so long, and wait for the last to end."""
         end = asyncio.get_running_loop().time() + seconds
+        idling = asyncio.ensure_future(self._keep_idle_clients())
         while asyncio.get_running_loop().time() < end:
             await asyncio.sleep(self.random.expovariate(self.rate * len(self.nodes)))
-            available = [node for node in self.nodes if node.up]
+            available = [node for node in self.nodes if self._can_ask(node)]
             if available:
                 task = asyncio.ensure_future(self._make_request(self.random.choice(available)))
                 self.tasks.add(task)
                 task.add_done_callback(self.tasks.discard)
+        idling.cancel()
+        await asyncio.gather(idling, return_exceptions=True)
         await asyncio.gather(*self.tasks)
         for clients in self.idle_clients.values():
             for client in clients:
                 client.close()
 
+    def _connects(self, node: SoakNode) -> bool:
+        """Whether clients open new connections to a node: for a moment after SIGTERM they still do."""
+        if node.stopped_at is None or node.process.returncode is not None:
+            return node.up
+        return asyncio.get_running_loop().time() < node.stopped_at + CONNECTS_AFTER_STOP
+
+    def _can_ask(self, node: SoakNode) -> bool:
+        """Whether a client has a connection to a node, or opens one; they are used until the kill."""
+        clients = self.idle_clients[node.name]
+        clients[:] = [client for client in clients if not client.reader.at_eof()]
+        return self._connects(node) or bool(clients)
+
+    async def _keep_idle_clients(self) -> None:
+        """Keep as many connections as the conditions say that send nothing, until cancelled."""
+        count = self.environment.conditions.idle_clients
+        async with asyncio.TaskGroup() as tasks:
+            for node in self.nodes:
+                for _ in range(count):
+                    tasks.create_task(self._stay_idle(node))
+
+    async def _stay_idle(self, node: SoakNode) -> None:
+        while True:
+            await asyncio.sleep(self.random.uniform(0.1, 0.5))
+            if not node.up:
+                continue
+            with suppress(OSError):
+                reader, writer = await asyncio.open_connection(HOST, node.port)
+                try:
+                    await reader.read()
+                finally:
+                    writer.transport.abort()
+
     async def _make_request(self, node: SoakNode) -> None:
         self.request_count += 1
         name = f"q{self.environment.seed}-{self.request_count}"
@@ -63,13 +103,14 @@
 
     async def _connection(self, node: SoakNode) -> tuple[Client, bool]:
         """Return an idle connection or a new one, and whether it is new."""
-        if self.idle_clients[node.name] and self.random.random() < REUSED_CONNECTION_SHARE:
+        reuses = self.random.random() < REUSED_CONNECTION_SHARE or not self._connects(node)
+        if self.idle_clients[node.name] and reuses:
             return self.idle_clients[node.name].pop(), False
         return Client(*await asyncio.open_connection(HOST, node.port)), True
 
     async def _send_usual(self, node: SoakNode, name: str, disconnects: bool) -> None:
         kind = self.random.choice(CLASSES)
-        deadline = self.random.choice([0.7, 1.5, 2.5, 4.0])
+        deadline = self.random.choice(DEADLINE_SHARES) * self.environment.conditions.longest_deadline
         body = b'{"prompt":"%b"}' % name.encode()
         client, new = await self._connection(node)
         data = post(
@@ -90,7 +131,7 @@
             return
         how, status = "late", 0
         try:
-            async with asyncio.timeout(deadline + GRACE + 8.0):
+            async with asyncio.timeout(deadline + GRACE + LONGEST_WAIT):
                 status, how = await self._read_response(client, name)
         except TimeoutError:
             pass
@@ -107,7 +148,8 @@
         if head.status == 200:
             self.environment.record("begun", request=name)
         response = await client.read_body(head)
-        if response.status == 200 and response.body != b"".join(expected_stream(name)) and response.complete:
+        expected = expected_stream(name, self.environment.conditions.stream_duration(name))
+        if response.status == 200 and response.body != b"".join(expected) and response.complete:
             return response.status, "wrong"
         closes = response.headers.get("connection") == "close"
         return response.status, "cut" if not response.complete else "last" if closes else "whole"
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -26,9 +27,13 @@
     http_response,
     read_request,
 )
+from tests.node_platform.ports import free_port
+from tests.soak.conditions import Conditions
 
 Event = dict[str, Any]
 KINDS = ("prefill", "decode", "mixed")
+EVENT_INTERVAL = 0.1  # seconds between two events of a long stream
+LEFT = "left"  # the status of an engine that is not on the list
 PREFILL_ENGINES, DECODE_ENGINES, MIXED_ENGINES = 8, 7, 3  # in a soak
 
 
@@ -47,12 +52,14 @@
 class State:
     """Prefill state that an engine holds for a request, and how many attempts wait for it."""
 
+    engine: str
     waiting_attempts: int = 0
 
 
-def expected_stream(request: str) -> list[bytes]:
+def expected_stream(request: str, duration: float) -> list[bytes]:
     """Return the events that any engine answers a request with: a client can tell whether it got them all."""
-    words = [sha256(f"{request}.{index}".encode()).hexdigest()[:8] for index in range(4 + len(request) % 3)]
+    count = max(4 + len(request) % 3, int(duration / EVENT_INTERVAL))
+    words = [sha256(f"{request}.{index}".encode()).hexdigest()[:8] for index in range(count)]
     events = [
         b'data: {"choices":[{"index":0,"delta":{"content":"%b"},"finish_reason":null}]}\n\n' % word.encode()
         for word in words
@@ -71,14 +78,32 @@
         self.running = asyncio.Event()  # while clear, nothing is received on any connection
         self.running.set()
         self.server: asyncio.Server
-        self.port = 0
+        self.port = free_port()  # while it restarts, no outgoing connection may take it
+        self.started_unix_ms = 0  # 0: long ago
+        self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen."""
         self.server = await asyncio.start_server(self._serve, HOST, self.port)
-        self.port = int(self.server.sockets[0].getsockname()[1])
+
+    async def restart(self, down: float) -> None:
+        """Lose all connections and states, and start anew; the list does not tell it yet."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.environment.lose_states(self.name)
+        await asyncio.sleep(down)
+        self.started_unix_ms = max(int(time.time() * 1000), self.started_unix_ms + 1)
+        await self.start()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        try:
+            await self._serve_requests(reader, writer)
+        finally:
+            self.writers.discard(writer)
+
+    async def _serve_requests(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
             while True:
                 await self.running.wait()
@@ -154,9 +179,12 @@
                 state.waiting_attempts -= 1
         self.environment.take_state(name)
         writer.write(STREAM_HEAD)
-        for event in expected_stream(name):
+        duration = self.environment.conditions.stream_duration(name)
+        events = expected_stream(name, duration)
+        for event in events:
+            await self.running.wait()
             writer.write(chunked(event))
-            await asyncio.sleep(self.slowdown * 0.01 * self.random_share())
+            await asyncio.sleep(duration / len(events) * self.slowdown)
         writer.write(LAST_CHUNK)
 
 
@@ -191,9 +219,10 @@
                         "group": 1,
                         "status": self.environment.status[engine.name],
                         "weight": 1.0,
-                        "since_ms": 0,
+                        "since_ms": engine.started_unix_ms,
                     }
                     for engine in self.environment.engines.values()
+                    if self.environment.status[engine.name] != LEFT
                 ],
             }
         ).encode()
@@ -217,8 +246,9 @@
 class Environment:
     """All engines of a soak, their states, and the endpoint list."""
 
-    def __init__(self, seed: int, mixed_engines: int = MIXED_ENGINES) -> None:
+    def __init__(self, seed: int, conditions: Conditions, mixed_engines: int = MIXED_ENGINES) -> None:
         self.seed = seed
+        self.conditions = conditions
         self.recording = Recording()
         self.record = self.recording.record
         self.states: dict[str, State] = {}
@@ -251,9 +281,14 @@
 
     def hold_state(self, engine: str, request: str) -> None:
         """A prefill has ended: its state is held."""
-        self.states[request] = State()
+        self.states[request] = State(engine)
         self.record("held", engine=engine, request=request)
 
+    def lose_states(self, engine: str) -> None:
+        """An engine's process has ended, and with it what it held."""
+        for request in [name for name, state in self.states.items() if state.engine == engine]:
+            self.take_state(request)
+
     def take_state(self, request: str) -> None:
         """A stream has begun: its state is not held any more."""
         if self.states.pop(request, None) is not None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,10 +9,13 @@
 from random import Random
 
 from tests.fault_proxy import Direction, FaultProxy
-from tests.soak.environment import Environment
+from tests.soak.environment import LEFT, Environment
 from tests.soak.nodes import SoakNode
 
 QUIET_END = 2.0  # seconds at the end in which no fault begins
+DOWN_TIME = 0.1  # seconds that an engine does not listen as it starts anew
+STOPS = ("restart", "wave", "signals")
+DURING_STOPS = ("started_anew", "left_and_back", "other_kind", "hang", "silence", "drain")
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,13 +37,22 @@
     faults = []
     at = 0.5
     engines = list(environment.engines)
-    while at < seconds - QUIET_END:
-        kind = random.choice(list(KINDS))
+
+    def draw(begins: float, kind: str) -> Fault:
         affected_engines = tuple(random.sample(engines, random.choice([1, 1, 2, 4])))
         node_count = max(1, random.choice([1, 2, nodes // 2, nodes]))
         affected_nodes = tuple(random.sample(range(nodes), node_count))
         lasts = round(random.uniform(0.1, 2.5), 2)
-        faults.append(Fault(round(at, 2), kind, lasts, affected_engines, affected_nodes))
+        return Fault(round(begins, 2), kind, lasts, affected_engines, affected_nodes)
+
+    while at < seconds - QUIET_END:
+        kind = random.choice(list(KINDS))
+        faults.append(draw(at, kind))
+        if kind in STOPS:
+            kill_after = environment.conditions.kill_after
+            faults += [
+                draw(at + random.uniform(0, kill_after), random.choice(DURING_STOPS)) for _ in range(3)
+            ]
         at += random.expovariate(1 / each)
     return faults
 
@@ -175,19 +187,76 @@
 
     async def restart(self, fault: Fault) -> None:
         """Restart one node gracefully."""
-        await self._restart(fault, kill=False)
-
-    async def kill(self, fault: Fault) -> None:
-        """Kill one node and start it again."""
-        await self._restart(fault, kill=True)
-
-    async def _restart(self, fault: Fault, kill: bool) -> None:
+        await self._restart_nodes(fault, (0.0, signal.SIGTERM))
+
+    async def wave(self, fault: Fault) -> None:
+        """Restart all nodes of the fault at once, gracefully."""
+        await self._restart_nodes(fault, (0.0, signal.SIGTERM), most=len(fault.nodes))
+
+    async def signals(self, fault: Fault) -> None:
+        """Restart one node with signals in quick succession, as the length of the fault decides."""
+        pause = fault.lasts % 0.3
+        series = (
+            [(0.0, signal.SIGHUP), (pause / 10, signal.SIGTERM)],
+            [(0.0, signal.SIGTERM), (pause, signal.SIGTERM), (pause, signal.SIGHUP)],
+            [(0.0, signal.SIGHUP), (0.0, signal.SIGHUP), (0.0, signal.SIGTERM), (0.0, signal.SIGHUP)],
+        )
+        await self._restart_nodes(fault, *series[int(fault.lasts * 100) % len(series)])
+
+    async def stop_at_start(self, fault: Fault) -> None:
+        """Kill a node, and tell the next process to stop while it is starting."""
         node = self.nodes[fault.nodes[0]]
         if node.name not in self.restarting and node.up:
             self.restarting.add(node.name)
-            await node.restart(kill)
+            node.signal(signal.SIGKILL)
+            await node.wait_end()
+            starting = asyncio.ensure_future(node.start())
+            await asyncio.sleep(0.5 + fault.lasts / 5)  # the imports take 0.4 s
+            node.signal(signal.SIGTERM)
+            await node.wait_end()
+            await starting
+            await node.start()
             self.restarting.discard(node.name)
 
+    async def started_anew(self, fault: Fault) -> None:
+        """Start engines anew; the list tells it after a while."""
+        await self._restart_engines(fault)
+
+    async def left_and_back(self, fault: Fault) -> None:
+        """Take engines off the list, and start them anew."""
+        for engine in fault.engines:
+            await self.environment.set_status(engine, LEFT)
+        await self._restart_engines(fault)
+
+    async def _restart_engines(self, fault: Fault) -> None:
+        engines = [self.environment.engines[name] for name in fault.engines]
+        await asyncio.gather(*(engine.restart(DOWN_TIME) for engine in engines))
+        await asyncio.sleep(fault.lasts)
+        for engine in fault.engines:
+            await self.environment.set_status(engine, "active")
+
+    async def other_kind(self, fault: Fault) -> None:
+        """List decode engines as mixed ones for a while."""
+        engines = [self.environment.engines[name] for name in fault.engines if name.startswith("decode")]
+        for kind in ("mixed", "decode"):
+            for engine in engines:
+                engine.kind = kind
+                await self.environment.set_status(engine.name, self.environment.status[engine.name])
+            await asyncio.sleep(fault.lasts)
+
+    async def kill(self, fault: Fault) -> None:
+        """Kill one node and start it again."""
+        await self._restart_nodes(fault, (0.0, signal.SIGKILL))
+
+    async def _restart_nodes(
+        self, fault: Fault, *signals: tuple[float, signal.Signals], most: int = 1
+    ) -> None:
+        nodes = [self.nodes[index] for index in fault.nodes[:most]]
+        nodes = [node for node in nodes if node.name not in self.restarting and node.up]
+        self.restarting |= {node.name for node in nodes}
+        await asyncio.gather(*(node.restart(*signals) for node in nodes))
+        self.restarting -= {node.name for node in nodes}
+
     async def wall_clock(self, fault: Fault) -> None:
         """Step the wall clock by an hour, where the preloaded library is there to do it."""
         self.clock_offset = 3_600 if self.clock_offset <= 0 else -3_600
@@ -211,7 +280,13 @@
         FaultInjector.agent_silent,
         FaultInjector.reload,
         FaultInjector.pause,
+        FaultInjector.started_anew,
+        FaultInjector.left_and_back,
+        FaultInjector.other_kind,
         FaultInjector.restart,
+        FaultInjector.wave,
+        FaultInjector.signals,
+        FaultInjector.stop_at_start,
         FaultInjector.kill,
         FaultInjector.wall_clock,
     )
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -1,13 +1,16 @@
 """Judges a soak by its rules, from the recorded events; each rule counts the cases that it judged.
 
-The names of the rules are printed and parsed: lost (no, late or wrong response), twice (repeated in spite of
-its class), drain, held (state not released), gone (sent after its client or its response), deadline, foreign
-(sent or answered with other contents), alive (processes that start and stay).
+The names of the rules are printed and parsed: lost (no, late or wrong response), stopped (left by a node that
+was told to end), twice (repeated in spite of its class), drain, held (state not released), gone (sent after
+its client or its response), deadline, foreign (sent or answered with other contents), alive (processes that
+start and stay).
 """
 
 from __future__ import annotations
 
 from collections import defaultdict
+from dataclasses import dataclass
+from math import inf
 from typing import Any
 
 from runspool.lab.audit import RuleVerdict
@@ -23,31 +26,67 @@
 DEDUPLICATION_WINDOW = 2.0  # for repeats of the class that may be repeated within one
 MAX_START = 10.0
 
-RULES = ("lost", "twice", "drain", "held", "gone", "deadline", "foreign", "alive")
+OWED_FROM = 0.7  # after SIGTERM: what comes later may not be open at the kill
+CONNECTING_UNTIL = 0.4  # after SIGTERM, that clients open new connections
+STREAM_SILENCE = 5.0  # after which a client counts its stream as broken
 
+RULES = ("lost", "stopped", "twice", "drain", "held", "gone", "deadline", "foreign", "alive")
 
-def judge(events: list[Event]) -> dict[str, RuleVerdict]:
-    """Return the verdict by rule."""
+
+def judge(events: list[Event], resumable: bool = True) -> dict[str, RuleVerdict]:
+    """Return the verdict by rule; `resumable` is as in Conditions."""
     verdict = {rule: RuleVerdict() for rule in RULES}
+    stops = _stops(events)
+    faults = [event for event in events if event["what"] == "fault"]
     by_request: dict[str, list[Event]] = defaultdict(list)
     for event in events:
         if "request" in event:
             by_request[event["request"]].append(event)
-    ends = [event for event in events if event["what"] == "told_to_end"]
     for name, request_events in by_request.items():
-        _JudgedRequest(name, request_events, ends, verdict).judge()
+        judged = _JudgedRequest(name, request_events, stops, verdict)
+        judged.judge()
+        judged.judge_cut_stream(resumable, faults)
     _judge_drains(events, verdict["drain"])
     _judge_alive(events, verdict["alive"])
     return verdict
 
 
+@dataclass
+class _Stop:
+    """One end of a node's process: when it was told to, was killed, and had ended."""
+
+    node: str
+    told_at: float | None = None  # by SIGTERM
+    killed_at: float | None = None
+    ended_at: float = inf
+
+
+def _stops(events: list[Event]) -> list[_Stop]:
+    """Return the ends of all processes, in the order in which they were first told to end."""
+    stops: list[_Stop] = []
+    open_stops: dict[str, _Stop] = {}
+    for event in events:
+        if event["what"] == "told_to_end":
+            stop = open_stops.get(event["node"])
+            if stop is None:
+                stop = open_stops[event["node"]] = _Stop(event["node"])
+                stops.append(stop)
+            if event["kill"]:
+                stop.killed_at = event["t"]
+            elif stop.told_at is None:
+                stop.told_at = event["t"]
+        elif event["what"] == "ended" and event["node"] in open_stops:
+            open_stops.pop(event["node"]).ended_at = event["t"]
+    return stops
+
+
 class _JudgedRequest:
     """One request's events, in order of time."""
 
     def __init__(
-        self, name: str, events: list[Event], ends: list[Event], verdict: dict[str, RuleVerdict]
+        self, name: str, events: list[Event], stops: list[_Stop], verdict: dict[str, RuleVerdict]
     ) -> None:
-        self.name, self.events, self.ends, self.verdict = name, events, ends, verdict
+        self.name, self.events, self.stops, self.verdict = name, events, stops, verdict
         self.request = self.first("asked")
         self.left = self.first("left")
         self.answered = self.first("answered")
@@ -90,25 +129,68 @@
         if self.answered is not None and self.answered["how"] == "wrong":
             self.add_violation("foreign", "answered with what no engine made for it")
 
-    def _node_ended(self, request: Event, until: float) -> bool:
-        return any(
-            end["node"] == request["node"] and request["t"] - 4.0 < end["t"] < until + SLACK
-            for end in self.ends
-        )
+    def _stop_of(self, request: Event) -> _Stop | None:
+        """The end of the process that has taken the request, if it was open then; None where it was not."""
+        until = inf if self.answered is None else self.answered["t"]
+        for stop in self.stops:
+            begins = min(time for time in (stop.told_at, stop.killed_at) if time is not None)
+            if (
+                stop.node == request["node"]
+                and begins < until + SLACK
+                and request["t"] < stop.ended_at + SLACK
+            ):
+                return stop
+        return None
 
     def _killed(self, request: Event) -> bool:
-        """Whether its node was killed outright, so that nobody is left to release what it held."""
+        """Whether its node was killed, so that nobody is left to release what it held."""
         return any(
-            end["kill"] and end["node"] == request["node"] and end["t"] > request["t"] for end in self.ends
+            stop.node == request["node"] and stop.killed_at is not None and stop.killed_at > request["t"]
+            for stop in self.stops
         )
 
+    def _judge_stopped(self, request: Event, answered: Event, stop: _Stop) -> None:
+        """What a node had taken as it was told to end; a process killed outright owes nothing."""
+        if stop.told_at is None:
+            return
+        self.verdict["stopped"].cases += 1
+        after_signal = request["t"] - stop.told_at
+        by_kill = stop.killed_at is not None and answered["t"] >= stop.killed_at
+        begun = self.first("begun") is not None
+        if answered["how"] not in ("closed", "cut", "late"):
+            return
+        if by_kill and after_signal > OWED_FROM:
+            self.add_violation("stopped", f"open at the kill, sent {after_signal:.3f} s after SIGTERM")
+        elif not by_kill and not begun and not self._crossed(request, after_signal):
+            self.add_violation(
+                "stopped", f"no answer: {answered['how']}, sent {after_signal:.3f} s after SIGTERM"
+            )
+
+    def _crossed(self, request: Event, after_signal: float) -> bool:
+        """Whether a request that nobody received crossed the end of its connection."""
+        return not self.all("sent") and (not request["new"] or after_signal > CONNECTING_UNTIL)
+
+    def judge_cut_stream(self, resumable: bool, faults: list[Event]) -> None:
+        """Where clients do not ask for the rest, a stream may not be cut while its events still come."""
+        request, begun, answered = self.request, self.first("begun"), self.answered
+        if resumable or request is None or begun is None or answered is None or answered["how"] != "cut":
+            return
+        stop = self._stop_of(request)
+        by_kill = stop is not None and stop.killed_at is not None and answered["t"] >= stop.killed_at
+        engine = self.all("ran")[-1]["engine"]
+        if not by_kill and not _has_fault(faults, engine, begun["t"], answered["t"]):
+            self.add_violation("lost", "cut, though its events still came")
+
     def _judge_lost(self, request: Event) -> None:
         if self.left is not None or self.answered is None:
             return
         self.verdict["lost"].cases += 1
         answered, begun = self.answered, self.first("begun")
-        if self._node_ended(request, answered["t"]):
-            return  # its clients ask another node
+        stop = self._stop_of(request)
+        if stop is not None:
+            self._judge_stopped(request, answered, stop)
+            if answered["how"] in ("closed", "late"):
+                return
         took = (begun or answered)["t"] - request["t"]
         if answered["how"] == "closed" and not (self.all("sent") or request["new"]):
             return  # the end of an idle connection, crossed by a request that nobody received
@@ -198,7 +280,7 @@
                     if change["engine"] == engine and change["version"] <= event["version"]
                 ]
                 key = event["node"], engine
-                if last and last[-1]["status"] == "leaving":
+                if last and last[-1]["status"] != "active":
                     known_since.setdefault(key, event["t"])
                 else:
                     known_since.pop(key, None)
@@ -220,3 +302,13 @@
             judged.add_violation(str(event))
         if event["what"] == "ready" and event["took"] > MAX_START:
             judged.add_violation(f"{event['node']} took {event['took']:.1f} s to be ready")
+
+
+def _has_fault(faults: list[Event], engine: str, since: float, until: float) -> bool:
+    """Whether a fault at an engine may have broken a stream there."""
+    return any(
+        engine in fault["engines"]
+        and fault["t"] < until
+        and (fault["kind"] == "silent_after" or since < fault["t"] + fault["lasts"] + STREAM_SILENCE)
+        for fault in faults
+    )
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -6,33 +6,37 @@
 import copy
 import json
 import os
+import re
 import signal
 import sys
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
+from signal import Signals
 from typing import Any
+from zlib import crc32
 
 from tests.fault_proxy import HOST, FaultProxy
 from tests.node_platform.ports import free_port
 from tests.node_platform.settings import SETTINGS
+from tests.soak.conditions import Conditions
 from tests.soak.environment import Environment, SoakAgent
 
 READY_WITHIN = 10.0  # seconds that a start may take
-KILL_AFTER = 3.7  # seconds from SIGTERM to SIGKILL: the longest deadline, counted as 3 s at least, and 0.7
-FAULT_WORDS = (
-    b"Traceback",
-    b"_failed",
-    b"invariant_violated",
-    b"answered_by_deadline_guard",
-    b"release_abandoned",
+FAULT_LINE = re.compile(
+    rb"Traceback|"
+    rb'"event":"(\w+_failed|invariant_violated|answered_by_deadline_guard|release_abandoned)"'
 )
 
 
-def soak_settings() -> dict[str, Any]:
+def soak_settings(conditions: Conditions) -> dict[str, Any]:
     """Return the tests' settings with a request class of each effect."""
     settings = copy.deepcopy(SETTINGS)
+    for row in settings["classes"]:
+        row["deadline-us"] = int(conditions.longest_deadline * 1_000_000)
+        row["aim-us"] = min(row["aim-us"], row["deadline-us"])
+    settings["family-info"]["resume"] = conditions.resumable
     settings["classes"].append(
         copy.deepcopy(settings["classes"][0])
         | {"name": "pay", "effect": "deduplicated", "window-us": 2_000_000}
@@ -56,7 +60,9 @@
     port: int = 0
     log: bytes = b""
     up: bool = False  # it is ready, and no signal to end has been sent
+    stopped_at: float | None = None  # when SIGTERM was sent to this process
     ended_by_test: bool = False
+    is_listening: bool = False  # this process has logged that it listens
 
     async def prepare(self, edge: Callable[[str, str], FaultProxy]) -> None:
         """Start its edges, each made for its name and the engine's, and its agent."""
@@ -76,10 +82,10 @@
                     "name": self.name,
                     "listen": f"{HOST}:{self.port}",
                     "discovery": f"{HOST}:{self.agent.port}",
-                    "seed": f"{hash((self.environment.seed, self.name)) & 0xFFFF:x}",
-                    "limits": {"sockets": 512},
+                    "seed": f"{crc32(f'{self.environment.seed}.{self.name}'.encode()):x}",
+                    "limits": {"sockets": 512 + 3 * self.environment.conditions.idle_clients},
                     "known": json.loads(self.agent.listed()),
-                    "settings": soak_settings(),
+                    "settings": soak_settings(self.environment.conditions),
                 }
             )
         )
@@ -92,7 +98,7 @@
         if self.preload:
             variables |= {"LD_PRELOAD": self.preload, "SOAK_CLOCK": str(self.folder / "clock")}
         began = asyncio.get_running_loop().time()
-        self.ended_by_test = False
+        self.ended_by_test, self.is_listening, self.stopped_at = False, False, None
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, *command, stderr=asyncio.subprocess.PIPE, env=variables
         )
@@ -100,7 +106,8 @@
         self.environment.record("started", node=self.name)
         while not await self.healthy():
             if self.process.returncode is not None or asyncio.get_running_loop().time() - began > 30:
-                self.environment.record("not_started", node=self.name, code=self.process.returncode)
+                if not self.ended_by_test:
+                    self.environment.record("not_started", node=self.name, code=self.process.returncode)
                 return
             await asyncio.sleep(0.05)
         self.up = True
@@ -124,11 +131,15 @@
         assert self.process.stderr is not None
         async for line in self.process.stderr:
             self.log += line
-            if any(word in line for word in FAULT_WORDS):
+            self.is_listening = self.is_listening or b'"event":"node_listening"' in line
+            if FAULT_LINE.search(line):
                 self.environment.record("node_fault", node=self.name, line=line.decode()[:2_000])
         code = await self.process.wait()
         self.up = False
-        if not self.ended_by_test:
+        self.environment.record("ended", node=self.name, code=code)
+        # Before its handlers are installed, SIGTERM ends it at once.
+        expected = (0, -signal.SIGKILL) if self.is_listening else (0, -signal.SIGKILL, -signal.SIGTERM)
+        if not self.ended_by_test or code not in expected:
             self.environment.record("crashed", node=self.name, code=code)
 
     def signal(self, number: signal.Signals) -> None:
@@ -137,19 +148,27 @@
             if number in (signal.SIGTERM, signal.SIGKILL):
                 self.up, self.ended_by_test = False, True
                 self.environment.record("told_to_end", node=self.name, kill=number is signal.SIGKILL)
+                if number is signal.SIGTERM and self.stopped_at is None:
+                    self.stopped_at = asyncio.get_running_loop().time()
             with suppress(ProcessLookupError):
                 self.process.send_signal(number)
 
-    async def restart(self, kill: bool) -> None:
-        """End it by SIGKILL, or by SIGTERM with a SIGKILL behind it, and start it again from nothing."""
-        self.signal(signal.SIGKILL if kill else signal.SIGTERM)
-        await self.wait_end(KILL_AFTER)
+    async def restart(self, *signals: tuple[float, Signals]) -> None:
+        """Send signals, each so many seconds after the one before, until it ends, and start it again.
+
+        SIGKILL follows SIGTERM as early as the platform sends it.
+        """
+        for delay, number in signals:
+            await asyncio.sleep(delay)
+            self.signal(number)
+        await self.wait_end()
         await self.start()
 
-    async def wait_end(self, seconds: float) -> None:
-        """Wait until the process has ended; kill it after so long."""
+    async def wait_end(self) -> None:
+        """Wait until the process has ended; kill it as early as the platform does."""
+        since_stop = 0.0 if self.stopped_at is None else asyncio.get_running_loop().time() - self.stopped_at
         try:
-            async with asyncio.timeout(seconds):
+            async with asyncio.timeout(self.environment.conditions.kill_after - since_stop):
                 await asyncio.shield(self.logging)
         except TimeoutError:
             self.environment.record("killed_late", node=self.name)
@@ -160,7 +179,7 @@
         """End process, agent and edges."""
         if self.process.returncode is None:
             self.signal(signal.SIGTERM)
-            await self.wait_end(2 * KILL_AFTER)
+            await self.wait_end()
         self.agent.server.close()
         for edge in self.edges.values():
             await edge.close()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,13 +8,14 @@
 import subprocess
 import sys
 from collections import Counter
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from pathlib import Path
 from shutil import which
 from tempfile import TemporaryDirectory
 
 from runspool.lab.audit import RuleVerdict
 from tests.soak.client_workload import DISCONNECTING_SHARE, ClientWorkload
+from tests.soak.conditions import Conditions, draw_conditions
 from tests.soak.edges import Edge
 from tests.soak.environment import DECODE_ENGINES, MIXED_ENGINES, PREFILL_ENGINES, Environment, Event
 from tests.soak.faults import Fault, FaultInjector, schedule
@@ -58,13 +59,14 @@
 class RuleConditions:
     """Conditions in which a node that does not keep one rule is seen to break it."""
 
-    fault: Fault
+    faults: list[Fault]
     mixed_engines: int = MIXED_ENGINES
     disconnecting_share: float = DISCONNECTING_SHARE
+    soak: Conditions = Conditions()  # noqa: RUF009 - it is frozen
 
 
-def conditions_for(rule: str, nodes: int) -> RuleConditions:
-    """Return the conditions for one rule, in a soak of so many nodes.
+def conditions_for(sabotage: str, nodes: int) -> RuleConditions:
+    """Return the conditions for one way to violate a rule, in a soak of so many nodes.
 
     Where a violation shows only behind a prefill, or as a decode goes wrong, there is no mixed engine: those
     serve a request in one attempt, and on a slow machine hardly any other would be left to judge.
@@ -73,10 +75,20 @@
     prefill = tuple(f"prefill-{index}" for index in range(PREFILL_ENGINES))
     decode = tuple(f"decode-{index}" for index in range(DECODE_ENGINES))
 
-    def fault(kind: str, engines: tuple[str, ...]) -> Fault:
-        return Fault(0.5, kind, 4.0, engines, all_nodes)
+    def fault(kind: str, engines: tuple[str, ...]) -> list[Fault]:
+        return [Fault(0.5, kind, 4.0, engines, all_nodes)]
+
+    wave = Fault(1.5, "wave", 0.0, (), all_nodes)
 
-    match rule:
+    long_streams = Conditions(longest_stream=10.0, long_share=0.5)
+    match sabotage:
+        case "stopped":
+            return RuleConditions([wave], soak=long_streams)
+        case "stopped.exits":
+            return RuleConditions([*fault("hang", prefill), wave], mixed_engines=0)
+        case "lost.cuts":
+            soak = replace(long_streams, resumable=False)
+            return RuleConditions([wave], soak=soak)
         case "lost" | "held":
             return RuleConditions(fault("silence", decode), mixed_engines=0)
         case "twice":
@@ -92,13 +104,17 @@
 async def play(soak: Soak, folder: Path) -> Result:
     """Start everything, inject the faults under load, end everything, judge."""
     conditions = conditions_for(soak.sabotage, soak.nodes) if soak.sabotage else None
-    environment = Environment(soak.seed, conditions.mixed_engines if conditions else MIXED_ENGINES)
+    environment = Environment(
+        soak.seed,
+        conditions.soak if conditions else draw_conditions(soak.seed),
+        conditions.mixed_engines if conditions else MIXED_ENGINES,
+    )
     await environment.start()
     nodes = [
         SoakNode(environment, f"n{index}", folder, soak.sabotage, soak.preload) for index in range(soak.nodes)
     ]
     if conditions:
-        faults = [conditions.fault]
+        faults = conditions.faults
         disconnecting_share = conditions.disconnecting_share
     else:
         faults = schedule(soak.seed, soak.seconds, environment, soak.nodes, soak.each)
@@ -120,7 +136,7 @@
         await asyncio.gather(*(node.close() for node in nodes))
         lag.cancel()
     events = list(environment.recording.events)
-    return Result(faults, events, judge(events))
+    return Result(faults, events, judge(events, environment.conditions.resumable))
 
 
 async def _record_lag(environment: Environment) -> None:
--- a/tests/soak/sabotage.py
+++ b/tests/soak/sabotage.py
@@ -1,4 +1,7 @@
-"""A node that violates one rule, which the judge of a soak has to notice: `-m tests.soak.sabotage RULE`."""
+"""A node that violates one rule, which the judge of a soak has to notice: `-m tests.soak.sabotage NAME`.
+
+A name is that of the rule, with a point and the way behind it where there are several.
+"""
 
 from __future__ import annotations
 
@@ -6,14 +9,19 @@
 import sys
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
+import anyio
+
 from runspool.engines import http_exchange as exchange
 from runspool.node import __main__ as program
 from runspool.node import engine_client as calls
 from runspool.node.client_connections import ClientConnections
+from runspool.node.executor import NodeExecutor
+from runspool.node.graceful_shutdown import GracefulShutdown
 from runspool.node.state_releaser import StateReleaser
-from runspool.scheduling.request_lifecycle import RequestLifecycle
+from runspool.scheduling.request_lifecycle import AttemptPolicy, DenialReason, RequestLifecycle
 from runspool.scheduling.scheduler import Scheduler
 from runspool.scheduling.types import Idempotency
 from runspool.service.pending_request import ResponseKind
@@ -106,8 +114,40 @@
     ClientConnections.serve = serve_or_exit  # type: ignore[method-assign]
 
 
-SABOTAGE_BY_RULE: dict[str, Callable[[], None]] = {
+def leave_streams_open() -> None:
+    """End no stream in a shutdown, as decisions or as the last resort."""
+    original = RequestLifecycle.deny_staying_open
+
+    def deny_unanswered_only(self: RequestLifecycle, process_ends: bool) -> DenialReason | None:
+        return None if self.streaming else original(self, process_ends)
+
+    RequestLifecycle.deny_staying_open = deny_unanswered_only  # type: ignore[method-assign]
+    NodeExecutor.migrate_stream = lambda *arguments: None  # type: ignore[method-assign]
+
+
+def exit_at_shutdown() -> None:
+    """Exit a moment after SIGTERM, whatever is open."""
+
+    async def exit_soon(self: GracefulShutdown, accepts_requests: bool = True) -> None:
+        await anyio.sleep(0.5)
+        os._exit(0)
+
+    GracefulShutdown.run = exit_soon  # type: ignore[method-assign]
+
+
+def cut_all_streams() -> None:
+    """Treat every stream as one that can be resumed, as the last resort does."""
+    original = AttemptPolicy.for_class.__func__  # type: ignore[attr-defined]
+    AttemptPolicy.for_class = classmethod(  # type: ignore[method-assign, assignment]
+        lambda cls, *arguments: replace(original(cls, *arguments), stream_can_resume=True)
+    )
+
+
+SABOTAGE: dict[str, Callable[[], None]] = {
     "lost": drop_rejections,
+    "stopped": leave_streams_open,
+    "stopped.exits": exit_at_shutdown,
+    "lost.cuts": cut_all_streams,
     "twice": repeat_attempts,
     "drain": ignore_drains,
     "held": release_nothing,
@@ -118,5 +158,5 @@
 }
 
 if __name__ == "__main__":
-    SABOTAGE_BY_RULE[sys.argv[1]]()
+    SABOTAGE[sys.argv[1]]()
     sys.exit(program.main())
--- /dev/null
+++ b/tests/soak/sweep.py
@@ -0,0 +1,73 @@
+"""Plays a soak for each of many seeds: `python -m tests.soak.sweep --first 1 --count 50`; one line a seed.
+
+A seed is clean, broken (with the rules and the number of violations), or a fault of the harness itself. The
+output of a seed that is not clean is kept in the folder of `--out`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from tests.soak.conditions import draw_conditions
+from tests.soak.judge import RULES
+from tests.soak.verdict import read_verdict
+
+TIMEOUT_MARGIN = 120.0  # seconds beyond a soak's own duration
+
+
+def play_seed(seed: int, seconds: float, nodes: int, out: Path) -> str:
+    """Play one soak in a process of its own; returns its line."""
+    command = [
+        sys.executable,
+        "-m",
+        "tests.soak.run",
+        f"--seed={seed}",
+        f"--seconds={seconds}",
+        f"--nodes={nodes}",
+    ]
+    try:
+        process = subprocess.run(
+            command, capture_output=True, text=True, timeout=seconds + TIMEOUT_MARGIN, check=False
+        )
+        output = process.stdout + process.stderr
+    except subprocess.TimeoutExpired as expired:
+        output = f"not over in time: {expired}"
+    verdict = read_verdict(output)
+    broken = {rule: violations for rule, (_, violations) in verdict.items() if violations}
+    result = "clean" if set(verdict) == set(RULES) and not broken else f"broken {broken}"
+    if set(verdict) != set(RULES):
+        result = "harness fault"
+    if result != "clean":
+        (out / f"{seed}.log").write_text(output)
+    stopped = verdict.get("stopped", (0, 0))[0]
+    return f"seed {seed}: {result}; {stopped} requests at stopping nodes; {draw_conditions(seed)}"
+
+
+def main() -> int:
+    """Play the seeds that the command line names; returns 0 where all are clean."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--count", type=int, default=50)
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--nodes", type=int, default=5)
+    parser.add_argument("--at-once", type=int, default=3)
+    parser.add_argument("--out", type=Path, default=Path("/tmp/runspool-soaks"))
+    options = parser.parse_args()
+    options.out.mkdir(parents=True, exist_ok=True)
+    seeds = range(options.first, options.first + options.count)
+    with ThreadPoolExecutor(options.at_once) as pool:
+        lines = []
+        for line in pool.map(
+            lambda seed: play_seed(seed, options.seconds, options.nodes, options.out), seeds
+        ):
+            print(line, flush=True)
+            lines.append(line)
+    return 0 if all(": clean;" in line for line in lines) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_node_attempts.py
+++ b/tests/test_node_attempts.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
 
-from runspool.scheduling.types import EngineState
 from runspool.transport.tcp import TcpConnection, connect
 from tests.node_platform.client import BODY, post
 from tests.node_platform.engine import Script, resets_connection, responds
@@ -19,6 +19,7 @@
     ReceivedRequest,
     http_response,
 )
+from tests.node_platform.inspection import until
 from tests.node_platform.platform import Platform
 
 pytestmark = pytest.mark.anyio
@@ -101,8 +102,22 @@
         await platform.until(lambda: len(platform.release_calls("q1")) >= 1)  # the state that nobody fetched
 
 
-async def test_a_drain_learned_while_connecting_bars_the_attempt(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+def drains(platform: Platform) -> None:
+    platform.tell(w="leaving")
+
+
+def prefills_only(platform: Platform) -> None:
+    platform.tell_kind("w", "prefill")
+
+
+def has_another_address(platform: Platform) -> None:
+    platform.engines["w"].announced_port = 1
+    platform.tell(w="active")
+
+
+@pytest.mark.parametrize("change", [drains, prefills_only, has_another_address])
+async def test_a_change_learned_while_connecting_bars_the_attempt(
+    change: Callable[[Platform], None], tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     connecting, proceed = asyncio.Event(), asyncio.Event()
 
@@ -117,10 +132,8 @@
     async with platform.inside() as running:
         response = asyncio.ensure_future(platform.ask(post("q1", "book")))
         await asyncio.wait_for(connecting.wait(), 15)
-        platform.tell(w="leaving")
-        async with asyncio.timeout(15):
-            while running.executor.engine_records["w"].state == EngineState.READY:
-                await asyncio.sleep(0.005)
+        change(platform)
+        await until(lambda: running.executor.endpoint_tracker.version == platform.version)
         proceed.set()
         assert (await response).status == 503  # known not to have executed
         assert platform.attempts("q1", "decode") == []
--- a/tests/test_simulated_histories.py
+++ b/tests/test_simulated_histories.py
@@ -18,6 +18,7 @@
 from runspool.lab.audit import EXACT_TOLERANCE, RULES, audit
 from runspool.lab.recording import Event
 from runspool.service.front import Front
+from runspool.service.pending_request import ResponseKind
 from runspool.service.timer_queue import DeadlineGuardTimer
 from tests import simulated_clock
 from tests.conftest import JUDGED
@@ -120,9 +121,13 @@
 
 def give_no_final_response_on_failure(monkeypatch: pytest.MonkeyPatch) -> None:
     """Break the rule that no request is lost."""
-    timer_fired = Front._timer_fired
-    monkeypatch.setattr(Front, "reject", lambda front, request, retry_after: None)
-    monkeypatch.setattr(Front, "fail_indeterminate", lambda front, request: None)
+    timer_fired, finish = Front._timer_fired, Front.finish
+    not_given = (ResponseKind.REJECTED, ResponseKind.INDETERMINATE)
+    monkeypatch.setattr(
+        Front,
+        "finish",
+        lambda front, pending, final: final.kind not in not_given and finish(front, pending, final),
+    )
     monkeypatch.setattr(
         Front,
         "_timer_fired",
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,11 +1,11 @@
 """Short soaks with fixed seeds, and for each rule a node that violates it, which the judge has to notice.
 
-Longer ones by hand: `python -m tests.soak.run --seed 3 --seconds 60 --nodes 24`.
+Longer ones by hand: `python -m tests.soak.run --seed 3 --seconds 60 --nodes 24`, many seeds with
+`python -m tests.soak.sweep --first 1 --count 50`.
 """
 
 from __future__ import annotations
 
-import re
 import subprocess
 import sys
 from collections.abc import Iterator
@@ -14,11 +14,12 @@
 import pytest
 
 from tests.soak.judge import RULES
+from tests.soak.verdict import read_verdict
 
 SEEDS = (2, 8)
+SABOTAGE = (*RULES, "stopped.exits", "lost.cuts")  # see tests/soak/sabotage.py
 TIMEOUT = 90.0  # seconds for one soak, the ends of its processes included
 SOAKS_AT_ONCE = 3
-VERDICT = re.compile(r"^(\w+): (\d+) cases, (\d+) broken$", re.MULTILINE)
 
 SoakResult = tuple[dict[str, tuple[int, int]], str]  # cases and violations by rule, and the output
 
@@ -32,8 +33,7 @@
         timeout=TIMEOUT,
         check=False,
     )
-    verdict = {rule: (int(cases), int(broken)) for rule, cases, broken in VERDICT.findall(process.stdout)}
-    return verdict, process.stdout + process.stderr
+    return read_verdict(process.stdout), process.stdout + process.stderr
 
 
 @pytest.fixture(scope="module")
@@ -45,10 +45,10 @@
             for seed in SEEDS
         }
         results |= {
-            rule: pool.submit(
-                run_soak, "--seed=1", "--seconds=5", "--nodes=2", "--rate=15", f"--sabotage={rule}"
+            name: pool.submit(
+                run_soak, "--seed=1", "--seconds=5", "--nodes=2", "--rate=25", f"--sabotage={name}"
             )
-            for rule in RULES
+            for name in SABOTAGE
         }
         yield results
 
@@ -63,7 +63,7 @@
     assert all(cases for cases, _ in verdict.values())
 
 
-@pytest.mark.parametrize("rule", RULES)
-def test_a_node_that_violates_a_rule_is_noticed(rule: str, soaks: dict[str, Future[SoakResult]]) -> None:
-    verdict, output = soaks[rule].result()
-    assert verdict[rule][1] > 0, output
+@pytest.mark.parametrize("sabotage", SABOTAGE)
+def test_a_node_that_violates_a_rule_is_noticed(sabotage: str, soaks: dict[str, Future[SoakResult]]) -> None:
+    verdict, output = soaks[sabotage].result()
+    assert verdict[sabotage.partition(".")[0]][1] > 0, output
