--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -87,7 +87,12 @@
         self.server = await asyncio.start_server(self._serve, HOST, self.port)
 
     async def restart(self, down: float) -> None:
-        """Lose all connections and states, and start anew; the list does not tell it yet."""
+        """Lose all connections and states, and start anew; the list does not tell it yet.
+
+        Nothing is done where that is going on already.
+        """
+        if not self.server.is_serving():
+            return
         self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
