--- a/tests/test_node_stop_before_kill.py
+++ b/tests/test_node_stop_before_kill.py
@@ -27,6 +27,7 @@
 import pytest
 
 from runspool.node import graceful_shutdown
+from runspool.node.executor import NodeExecutor
 from runspool.scheduling import scheduler
 from runspool.scheduling.actions import Action, Sleep
 from tests.fault_proxy import HOST
@@ -274,3 +275,27 @@
     lines = Path(f"/proc/{pid}/status").read_text().splitlines()
     caught = next(line for line in lines if line.startswith("SigCgt"))
     return bool(int(caught.split()[1], 16) & 1 << (signal.SIGTERM - 1))
+
+
+async def test_a_request_read_behind_the_last_response_of_a_connection_is_answered(tmp_path: Path) -> None:
+    platform, proceed = platform_with(tmp_path, 6_000), asyncio.Event()
+    async with platform.inside() as running:
+        platform.engines["w"].scripts = [streams_until(proceed)]
+        client = await platform.client()
+        client.send(post("q1") + post("q2"))
+        response = await client.read_head()
+        running.executor.closing = True
+        proceed.set()
+        assert (await client.read_body(response)).complete
+        assert (await client.read_response()).status == 503
+
+
+async def test_a_request_that_its_scheduler_forgets_unanswered_is_answered(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(NodeExecutor, "fail_indeterminate", lambda executor, request: None)
+    platform = platform_with(tmp_path, 6_000)
+    async with platform.inside() as running:
+        response = await platform.ask(post("q1", req_extra="prompt_len=280000,max_out=40"))
+        assert response.status == 500
+        assert running.executor.invariants.counts == {"closed_unanswered": 1}
