--- a/runspool/node/executor.py
+++ b/runspool/node/executor.py
@@ -208,9 +208,8 @@
         elif pending.lifecycle.remote_end_unknown and not pending.stream_started:
             # An earlier attempt ended only here: this one may have taken up what it left.
             pending.possible_prefill_endpoint = pending.possible_prefill_endpoint or endpoint
-        # One release covers all that is reserved, so a state that still waits goes with its own.
-        # What was left
-        # behind another attempt is released when it is due, unless that attempt has been received.
+        # One release covers all that is reserved, so a state that still waits goes with its own. What was
+        # left behind another attempt is released when it is due, unless that attempt has been received.
         if (
             pending.possible_prefill_endpoint is not None
             and pending.attempt_count == attempt
--- a/runspool/node/graceful_shutdown.py
+++ b/runspool/node/graceful_shutdown.py
@@ -65,17 +65,17 @@
         """Ends all that may not be open when the kill comes, whatever decisions did about it."""
         self._log_timeout()
         # Deadlines may lie beyond the kill. Answer these requests and release their engine state before it.
-        self.executor.end_open_requests(streams=False)
+        self.executor.last_resort.end_open_requests(streams=False)
         if await self._becomes_idle(self.deadline + DECISION_GRACE):
             return
         last_look = self.requested_at + MAX_SHUTDOWN_DURATION
         if await self._becomes_idle(last_look, self._end_open_requests):
             return
-        self.executor.end_open_requests(process_ends=True)
+        self.executor.last_resort.end_open_requests(process_ends=True)
         await self._becomes_idle(last_look + FINAL_WRITE_DURATION)
 
     def _end_open_requests(self) -> None:
-        self.executor.end_open_requests()
+        self.executor.last_resort.end_open_requests()
         for handler in list(self.connections.handlers):
             handler.refuse_incomplete()
 
--- a/runspool/node/request_handler.py
+++ b/runspool/node/request_handler.py
@@ -12,8 +12,9 @@
 from runspool.node.request_parser import parse_client_request
 from runspool.scheduling.request_lifecycle import InvariantViolation
 from runspool.service.clock import now
-from runspool.service.http_connection import HttpConnection, StreamingResponse
+from runspool.service.http_connection import HttpConnection
 from runspool.service.pending_request import FinalResponse, RequestNotAcceptedError, ResponseKind
+from runspool.service.streaming_response import StreamingResponse
 from runspool.transport.tcp import ConnectionClosedError, TcpConnection
 from runspool.units import UNITS_PER_SECOND
 from runspool.wire.fields import InvalidRequestError
--- a/runspool/node/server.py
+++ b/runspool/node/server.py
@@ -95,6 +95,7 @@
         executor.endpoints_changed(executor.endpoint_tracker.restore(self.config.last_endpoints.engines))
         listener = await self._listen()
         if listener is None:
+            self.log.info("node_stopped_before_start", waited_for="port")
             return
         try:
             async with listener, anyio.create_task_group() as tasks:
@@ -301,6 +302,7 @@
     async def _serve(self) -> None:
         config = await read_first_config(self.environ, self.stop_request)
         if config is None:
+            structlog.get_logger().info("node_stopped_before_start", waited_for="configuration")
             return
         max_descriptors = raise_descriptor_limit(config.max_descriptors)
         self.server = NodeServer(
--- a/runspool/scheduling/settings.py
+++ b/runspool/scheduling/settings.py
@@ -53,9 +53,8 @@
 
     `request_classes`, `tenants` and `engine_types` are indexed by the small integers that requests and engine
     records carry. A cold engine serves `slow_start_initial_fraction` of its capacity at its start, which
-    grows to
-    all of it over `slow_start_duration`; it fails where it gets over `slow_start_overload_multiple` times its
-    present capacity within `slow_start_overload_window`. A timeout of 0 means that none is set.
+    grows to all of it over `slow_start_duration`; it fails where it gets over `slow_start_overload_multiple`
+    times its present capacity within `slow_start_overload_window`. A timeout of 0 means that none is set.
     """
 
     front_index: int
--- a/runspool/scheduling/types.py
+++ b/runspool/scheduling/types.py
@@ -1,14 +1,11 @@
 """What the scheduler is told: requests, engines, load reports and the outcomes of attempts.
 
 Times and durations are whole tenths of a millisecond. Requests, engines, request classes, tenants, sessions
-and
-shared prefixes are small integers that `runspool.runtime.interning` hands out; `stable_hash` fields are drawn
-from
-the name alone, so that every front draws the same.
+and shared prefixes are small integers that `runspool.runtime.interning` hands out; `stable_hash` fields are
+drawn from the name alone, so that every front draws the same.
 
 The numbers of `Idempotency`, `DeduplicationScope` and `Role` and the words of `EngineState` stand in stored
-recordings
-(`runspool.service.recording_format`): they stay.
+recordings (`runspool.service.recording_format`): they stay.
 """
 
 from __future__ import annotations
@@ -111,15 +108,11 @@
 class Request:
     """One client request, as far as decisions depend on it.
 
-    `expected_output_tokens` is the client's own guess, 0 where it gave none. `time_budget` is what is
-    left of the
-    client's time when the request is submitted. `is_client_retry` marks a repeated request,
-    `is_continuation` one
-    for the rest of a stream that was stopped. The driver sets `finished` once nothing more is owed to the
-    client.
-    `request_draw` and `affinity_candidates` belong to the scheduler: its one random draw for the request,
-    and the
-    prefill engines that are assumed to have cached its prompt.
+    `expected_output_tokens` is the client's own guess, 0 where it gave none. `time_budget` is what is left of
+    the client's time when the request is submitted. `is_client_retry` marks a repeated request,
+    `is_continuation` one for the rest of a stream that was stopped. The driver sets `finished` once nothing
+    more is owed to the client. `request_draw` and `affinity_candidates` belong to the scheduler: its one
+    random draw for the request, and the prefill engines that are assumed to have cached its prompt.
     """
 
     index: int
@@ -155,11 +148,9 @@
 class AttemptOutcome:
     """How an attempt ended, or that its stream has started.
 
-    `duration` runs from the send. `reached_engine`: the engine is known to have had the attempt; where it
-    is not,
-    the time limit of a state that waited for the attempt has gone on. `state_released`: that state has
-    been released
-    meanwhile, unless the attempt had reached its engine without a response.
+    `duration` runs from the send. `reached_engine`: the engine is known to have had the attempt; where it is
+    not, the time limit of a state that waited for the attempt has gone on. `state_released`: that state has
+    been released meanwhile, unless the attempt had reached its engine without a response.
     """
 
     status: AttemptStatus
--- a/runspool/service/completions_handler.py
+++ b/runspool/service/completions_handler.py
@@ -11,9 +11,10 @@
 
 from runspool.engines.attempt_result import AttemptResult
 from runspool.service.front import Front
-from runspool.service.http_connection import HttpConnection, StreamingResponse
+from runspool.service.http_connection import HttpConnection
 from runspool.service.pending_completion import PendingCompletion
 from runspool.service.pending_request import FinalResponse, RequestNotAcceptedError, ResponseKind
+from runspool.service.streaming_response import StreamingResponse
 from runspool.transport.tcp import ConnectionClosedError, TcpConnection
 from runspool.units import TENTHS
 from runspool.wire import completions as wire
--- a/runspool/service/front_server.py
+++ b/runspool/service/front_server.py
@@ -138,7 +138,7 @@
         with anyio.move_on_after(settings.bounds.drain_ms / MS_PER_SECOND):
             while front.requests:
                 await front.idle.wait()
-        front.end_open_requests(process_ends=True)
+        front.last_resort.end_open_requests(process_ends=True)
         with anyio.move_on_after(FINAL_WRITE_TIME):
             # States are released too: a call cut off here leaves its state to the engine's own time-out.
             while True:
--- a/runspool/service/request_executor.py
+++ b/runspool/service/request_executor.py
@@ -2,7 +2,8 @@
 
 Nothing is decided here and no protocol is spoken here: subclasses add the protocol (`protocol_hooks`),
 `attempt_runner` runs single attempts, `deadline_guard` watches the deadlines, `release_check` the states that
-must be released, `task_spawner` keeps tasks apart and `endpoint_registry` knows the engines.
+must be released, `last_resort` ends what a shutdown may not leave open, `task_spawner` keeps tasks apart and
+`endpoint_registry` knows the engines.
 """
 
 from __future__ import annotations
@@ -18,7 +19,6 @@
 from runspool.runtime.interning import Interner
 from runspool.scheduling.request_lifecycle import (
     AttemptPolicy,
-    DenialReason,
     InvariantMonitor,
     InvariantViolation,
     RequestLifecycle,
@@ -30,10 +30,11 @@
 from runspool.service.clock import now, unix_ms_at_zero
 from runspool.service.deadline_guard import DeadlineGuard
 from runspool.service.endpoint_registry import EndpointRegistry
+from runspool.service.last_resort import LastResort
 from runspool.service.pending_request import FinalResponse, RequestT, ResponseKind
 from runspool.service.protocol_hooks import ProtocolHooks
 from runspool.service.release_check import ReleaseCheck
-from runspool.service.request_log import ShutdownDecision, log_replacements, log_shutdown_decision
+from runspool.service.request_log import ShutdownDecision, log_replacements
 from runspool.service.task_spawner import TaskSpawner
 from runspool.service.timer_queue import (
     DeadlineGuardTimer,
@@ -75,6 +76,7 @@
         self.timers: TimerQueue[ExecutorTimer] = TimerQueue(self._timer_fired)
         self.deadline_guard = DeadlineGuard(self.timers, settings.response_slack)
         self.release_check = ReleaseCheck(self)
+        self.last_resort = LastResort(self)
         self.attempt_runner = AttemptRunner(self)
         self.requests: dict[int, RequestT] = {}
         self.accepted_count = 0
@@ -97,7 +99,7 @@
         """The client has gone: an attempt in progress is cancelled and the scheduler told."""
         pending.lifecycle.mark_client_disconnected()
         if self.finish(pending, final_responses.client_disconnected()):
-            self._disconnect(pending)
+            self.disconnect(pending)
 
     def endpoints_changed(self, changed: list[EndpointEntry]) -> None:
         """Takes in changed entries of the endpoint list and gives the schedulers their engines."""
@@ -110,38 +112,6 @@
         """The index of a text, by its kind and name; None where it has no name."""
         return None if name is None else self.text_interner.intern(kind + name, at)
 
-    def end_open_requests(self, process_ends: bool = False, streams: bool = True) -> None:
-        """The last resort of a shutdown: ends every request that may not stay open, whatever decisions did.
-
-        Without `streams`, those whose streams have begun are left to decisions for now. `process_ends` is as
-        in RequestLifecycle.deny_staying_open().
-        """
-        for pending in list(self.requests.values()):
-            if pending.final_response is not None or (pending.stream_started and not streams):
-                continue
-            denial = pending.lifecycle.deny_staying_open(process_ends)
-            if denial is None:
-                self._leave_open(pending)
-            else:
-                self._end_open_request(pending, denial)
-
-    def _leave_open(self, pending: RequestT) -> None:
-        if not pending.left_open:
-            pending.left_open = True
-            self._log_shutdown_decision(
-                pending, ShutdownDecision.LEFT_OPEN, "its stream cannot be resumed elsewhere"
-            )
-
-    def _end_open_request(self, pending: RequestT, denial: DenialReason) -> None:
-        self._log_shutdown_decision(pending, ShutdownDecision.ENDED, denial.value)
-        if denial is DenialReason.RESUMABLE_AT_KILL:
-            # Decisions move such streams in time; ended here, the stream is not lost, but they have failed.
-            self.invariants.record(
-                InvariantViolation.STREAM_LEFT_OPEN, request=pending.id, reason=denial.value
-            )
-        if self.finish(pending, final_responses.front_stopped()):
-            self._disconnect(pending)
-
     # Scheduler actions.
 
     def start_attempt(self, request: int, engine: int, timeout: int) -> None:
@@ -179,7 +149,7 @@
         if self.finish(pending, final_responses.stream_migrated()):
             self.counts["migrated"] += 1
             if self.shutdown_deadline:
-                self._log_shutdown_decision(pending, ShutdownDecision.MOVED, "the scheduler moved it")
+                self.last_resort.log_decision(pending, ShutdownDecision.MOVED, "the scheduler moved it")
             pending.cancel_attempt()
 
     def set_timer(self, timer: SchedulerTimer, at: int) -> None:
@@ -247,10 +217,8 @@
             )
         return True
 
-    def _log_shutdown_decision(self, pending: RequestT, decision: ShutdownDecision, reason: str) -> None:
-        log_shutdown_decision(self.log, pending, decision, reason, self.shutdown_deadline - now())
-
-    def _disconnect(self, pending: RequestT) -> None:
+    def disconnect(self, pending: RequestT) -> None:
+        """Ends what is still done for a request that has its final response."""
         pending.cancel_attempt()
         self.notify_scheduler(
             self.scheduler_for(pending), pending.index, CellScheduler.client_disconnected, pending.index
@@ -315,4 +283,4 @@
         # A response that the client takes whole may have started: the scheduler has done its part then.
         if not pending.stream_started:
             self.deadline_guard.log_answer(pending, self.log)
-        self._disconnect(pending)
+        self.disconnect(pending)
