Red: a stopping node ends before it has repeated the release of a state

Lines: StateReleaser.release counts a release off before its repeats, and a shutdown waits for counted ones only.

--- a/tests/test_node_stop_before_kill.py
+++ b/tests/test_node_stop_before_kill.py
@@ -28,11 +28,12 @@
 
 from runspool.node import graceful_shutdown
 from runspool.node.executor import NodeExecutor
+from runspool.node.state_releaser import REPEAT_DELAYS
 from runspool.scheduling import scheduler
 from runspool.scheduling.actions import Action, Sleep
 from tests.fault_proxy import HOST
 from tests.node_platform.client import post
-from tests.node_platform.engine import streams_until
+from tests.node_platform.engine import never_responds, streams_until
 from tests.node_platform.http_messages import EVENTS, STREAM_HEAD, WAIT, ReceivedRequest, chunked
 from tests.node_platform.inspection import settings_with_deadline, until
 from tests.node_platform.platform import Platform
@@ -299,3 +300,21 @@
         response = await platform.ask(post("q1", req_extra="prompt_len=280000,max_out=40"))
         assert response.status == 500
         assert running.executor.invariants.counts == {"closed_unanswered": 1}
+
+
+async def test_a_release_is_repeated_before_the_process_ends(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The first call may find the attempt still waiting at its engine, and leave the state to it."""
+    monkeypatch.setattr(graceful_shutdown, "MAX_COUNTED_DEADLINE", 1_000)
+    platform = platform_with(tmp_path, 6_000)
+    platform.settings["family-info"]["release-within-us"] = 5_000_000  # none is due by itself
+    platform.engines["w"].scripts = [never_responds]
+    async with platform.inside() as running:
+        client = await platform.client()
+        client.send(post("q1"))
+        await platform.until(lambda: len(platform.attempts("q1", "decode")) == 1)
+        running.stop()
+        assert (await client.read_response()).status == 500
+        await asyncio.wait_for(platform.run, WAIT)
+        assert len(platform.release_calls("q1")) == 1 + len(REPEAT_DELAYS)
