--- a/runspool/node/state_releaser.py
+++ b/runspool/node/state_releaser.py
@@ -97,7 +97,12 @@
             return
         self._settle(release)
         release.on_confirmed()
-        await self._repeat(release)
+        # Counted, as a shutdown waits for what is: the state may be held until the last of these calls.
+        self.count(1)
+        try:
+            await self._repeat(release)
+        finally:
+            self.count(-1)
 
     def withdraw(self, request: str) -> bool:
         """Stop the release of a request's state; False where none is pending.
