--- a/runspool/node/graceful_shutdown.py
+++ b/runspool/node/graceful_shutdown.py
@@ -66,8 +66,10 @@
         self._log_timeout()
         # Deadlines may lie beyond the kill. Answer these requests and release their engine state before it.
         self.executor.last_resort.end_open_requests(streams=False)
-        if await self._becomes_idle(self.deadline + DECISION_GRACE):
+        if await self._becomes_idle(now() + DECISION_GRACE):
             return
+        # After a pause of the process, the timers of decisions are due in this moment too, and go first.
+        await anyio.sleep(POLL_SECONDS)
         last_look = self.requested_at + MAX_SHUTDOWN_DURATION
         if await self._becomes_idle(last_look, self._end_open_requests):
             return
--- a/tests/simulation/leaks.py
+++ b/tests/simulation/leaks.py
@@ -21,6 +21,7 @@
     leaks = [f"task {index}" for index in driver.tasks if index != BACKGROUND_TASK]
     if cell_scheduler.open_requests:
         leaks.append(f"{cell_scheduler.name} counts {cell_scheduler.open_requests} requests")
+    leaks += [f"attempt of {index}" for index in driver.scheduler.open_attempts]
     leaks += [f"prefill queue: {place}" for place in driver.scheduler.prefill_queue]
     for engine in driver.scheduler.engines.values():
         leaks += _leaks_of_engine(engine)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -43,11 +43,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """Faults, events and verdict of a soak."""
+    """Faults, events and verdict of a soak, and what each node has logged."""
 
     faults: list[Fault]
     events: list[Event]
     verdict: dict[str, RuleVerdict]
+    logs: dict[str, bytes]
 
     @property
     def broken(self) -> list[str]:
@@ -136,7 +137,8 @@
         await asyncio.gather(*(node.close() for node in nodes))
         lag.cancel()
     events = list(environment.recording.events)
-    return Result(faults, events, judge(events, environment.conditions.resumable))
+    verdict = judge(events, environment.conditions.resumable)
+    return Result(faults, events, verdict, {node.name: node.log for node in nodes})
 
 
 async def _record_lag(environment: Environment) -> None:
@@ -175,13 +177,18 @@
     ):
         parser.add_argument(f"--{name}", type=kind, default=default)
     parser.add_argument("--sabotage", default="")
+    parser.add_argument("--logs", type=Path, help="a folder where each node's log is written")
     parser.add_argument("--events", type=Path, help="where what was seen is written, a JSON object a line")
     options = vars(parser.parse_args())
-    events = options.pop("events")
+    events, logs = options.pop("events"), options.pop("logs")
     with TemporaryDirectory() as folder:
         preload = clock_library(Path(folder))
         print("wall clocks " + ("step" if preload else "do not step: no C compiler"))
         result = play_now(Soak(**options, preload=preload), Path(folder))
+    if logs is not None:
+        logs.mkdir(parents=True, exist_ok=True)
+        for name, log in result.logs.items():
+            (logs / f"{name}.log").write_bytes(log)
     if events is not None:
         events.write_text("".join(json.dumps(event) + "\n" for event in result.events))
     print_result(result)
--- a/tests/soak/sweep.py
+++ b/tests/soak/sweep.py
@@ -1,7 +1,7 @@
 """Plays a soak for each of many seeds: `python -m tests.soak.sweep --first 1 --count 50`; one line a seed.
 
 A seed is clean, broken (with the rules and the number of violations), or a fault of the harness itself. The
-output of a seed that is not clean is kept in the folder of `--out`.
+output, the events and the nodes' logs of a seed that is not clean are kept in the folder of `--out`.
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 import sys
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from shutil import rmtree
 
 from tests.soak.conditions import draw_conditions
 from tests.soak.judge import RULES
@@ -21,14 +22,9 @@
 
 def play_seed(seed: int, seconds: float, nodes: int, out: Path) -> str:
     """Play one soak in a process of its own; returns its line."""
-    command = [
-        sys.executable,
-        "-m",
-        "tests.soak.run",
-        f"--seed={seed}",
-        f"--seconds={seconds}",
-        f"--nodes={nodes}",
-    ]
+    logs = out / f"{seed}.logs"
+    options = [f"--seed={seed}", f"--seconds={seconds}", f"--nodes={nodes}", f"--logs={logs}"]
+    command = [sys.executable, "-m", "tests.soak.run", *options, f"--events={logs}.events"]
     try:
         process = subprocess.run(
             command, capture_output=True, text=True, timeout=seconds + TIMEOUT_MARGIN, check=False
@@ -41,7 +37,10 @@
     result = "clean" if set(verdict) == set(RULES) and not broken else f"broken {broken}"
     if set(verdict) != set(RULES):
         result = "harness fault"
-    if result != "clean":
+    if result == "clean":
+        rmtree(logs, ignore_errors=True)
+        Path(f"{logs}.events").unlink(missing_ok=True)
+    else:
         (out / f"{seed}.log").write_text(output)
     stopped = verdict.get("stopped", (0, 0))[0]
     return f"seed {seed}: {result}; {stopped} requests at stopping nodes; {draw_conditions(seed)}"
