Red: a prefill waits for a pending release past the time by which its request must be answered

Ruled out: a stalled process (load 4 of 10 cores, the guard was not late enough to say so), the shutdown. Line: NodeExecutor.before_attempt, wait_settled with RELEASE_WAIT_SECONDS.

--- a/tests/test_node_state_release.py
+++ b/tests/test_node_state_release.py
@@ -18,6 +18,7 @@
 from runspool.scheduling.types import AttemptStatus
 from runspool.service.clock import now
 from runspool.transport.tcp import TcpConnection, connect
+from runspool.units import UNITS_PER_SECOND, tenths
 from tests.node_platform.client import post
 from tests.node_platform.engine import never_responds
 from tests.node_platform.http_messages import WAIT, ReceivedRequest
@@ -180,3 +181,23 @@
         await platform.until(lambda: len(platform.release_calls("q1")) == 1)
         # 300 ms are granted for the state, and each connection is waited for 250 ms.
         assert 1 <= running.executor.counts["attempt_connect_failed"] <= 2
+
+
+async def test_a_prefill_waits_for_a_release_no_longer_than_its_request_can_still_be_answered(
+    tmp_path: Path,
+) -> None:
+    async with Platform(tmp_path, PAIR).inside() as running:
+        node = running.executor
+        endpoint = next(endpoint for endpoint in node.endpoints.values() if endpoint.name == "r")
+        waits: list[float] = []
+
+        async def record_wait(request: str, seconds: float) -> None:
+            waits.append(seconds)
+
+        node.state_releaser.wait_settled = record_wait  # type: ignore[method-assign]
+        pending = PendingNodeRequest(
+            0, "q1", 0, now() + tenths(40), cast(Any, None), client_request=cast(Any, None)
+        )
+        left = node.deadline_guard.attempts_end_at(pending) - now()
+        await node.before_attempt(pending, endpoint)
+        assert waits[0] <= left / UNITS_PER_SECOND
