--- a/runspool/node/executor.py
+++ b/runspool/node/executor.py
@@ -19,7 +19,7 @@
 from runspool.service.pending_request import Endpoint, PendingRequest, RequestNotAcceptedError
 from runspool.service.request_executor import RequestExecutor
 from runspool.service.response_relay import ResponseRelay
-from runspool.units import tenths
+from runspool.units import UNITS_PER_SECOND, tenths
 from runspool.wire.fields import InvalidRequestError
 
 MAX_INTERNED_NAMES = 20_000  # of sessions and prefixes, before the one unseen for longest is forgotten
@@ -197,7 +197,9 @@
         next prefill is known to have been received.
         """
         if endpoint.role is Role.PREFILL:
-            await self.state_releaser.wait_settled(pending.id, RELEASE_WAIT_SECONDS)
+            # A wait past the end of attempts would leave the answer to the deadline guard.
+            left = (self.deadline_guard.attempts_end_at(pending) - now()) / UNITS_PER_SECOND
+            await self.state_releaser.wait_settled(pending.id, max(0.0, min(RELEASE_WAIT_SECONDS, left)))
 
     def after_attempt(
         self, pending: PendingNodeRequest, endpoint: Endpoint, attempt: int, result: AttemptResult
