Red: a stream whose first event comes in the moment in which its limit ends begins, and is cut

Line: ExchangeTimer.remove_limit, which takes a limit off that has already called its scope's cancellation.

--- /dev/null
+++ b/tests/test_exchange_timer.py
@@ -0,0 +1,21 @@
+"""The time limit of an exchange, as what it waited for comes in the moment in which it ends."""
+
+from __future__ import annotations
+
+import pytest
+
+from runspool.engines.exchange_timer import ExchangeTimer
+from runspool.engines.failure_classification import ExchangeAbortedError, FailureCause
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_a_limit_that_has_ended_the_exchange_is_not_removed() -> None:
+    """A stream begun then would be cut at its first wait, though its client has been promised it."""
+    has_begun = False
+    with pytest.raises(ExchangeAbortedError) as aborted, ExchangeTimer(10_000) as timer:
+        timer.timeout_cause = FailureCause.TIMED_OUT_BEFORE_RESPONSE
+        timer.cancel()
+        timer.remove_limit(FailureCause.STREAM_INTERRUPTED)
+        has_begun = True
+    assert (has_begun, aborted.value.cause) == (False, FailureCause.TIMED_OUT_BEFORE_RESPONSE)
