--- a/runspool/engines/exchange_timer.py
+++ b/runspool/engines/exchange_timer.py
@@ -26,7 +26,14 @@
         self.timeout_cause = FailureCause.CONNECT_FAILED
 
     def remove_limit(self, cause: FailureCause) -> None:
-        """Remove the deadline: from now on only cancel() ends the exchange, with `cause`."""
+        """Remove the deadline: from now on only cancel() ends the exchange, with `cause`.
+
+        Raises:
+            ExchangeAbortedError: The deadline has passed.
+        """
+        # A cancellation that has been called is delivered at the next wait, whatever the deadline is then.
+        if self.scope.cancel_called:
+            raise ExchangeAbortedError(self.timeout_cause, "time ran out")
         self.timeout_cause = cause
         self.scope.deadline = math.inf
 
