--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -150,8 +150,9 @@
                 self.environment.record("told_to_end", node=self.name, kill=number is signal.SIGKILL)
                 if number is signal.SIGTERM and self.stopped_at is None:
                     self.stopped_at = asyncio.get_running_loop().time()
+            # Not send_signal(): it reaps a process that has just ended, and asyncio reports 255 then.
             with suppress(ProcessLookupError):
-                self.process.send_signal(number)
+                os.kill(self.process.pid, number)
 
     async def restart(self, *signals: tuple[float, Signals]) -> None:
         """Send signals, each so many seconds after the one before, until it ends, and start it again.
