--- a/runspool/discovery/endpoint_tracker.py
+++ b/runspool/discovery/endpoint_tracker.py
@@ -24,6 +24,19 @@
 NO_VERSION = -1  # below every version
 
 
+@dataclass(frozen=True, slots=True)
+class ListRevision:
+    """The state of the list that a decision was taken on.
+
+    Attributes:
+        version: every message up to this version had been applied; -1 before the first.
+        confirmed_at: when the service was last heard, tenths of a millisecond; None before the first message.
+    """
+
+    version: int
+    confirmed_at: int | None
+
+
 @dataclass(slots=True)
 class EndpointTracker:
     """The endpoint list as known so far.
@@ -35,6 +48,7 @@
         last_versions: by engine name, the version that last named it.
         versions_ahead: versions applied beyond the first missing one.
         gap_since: when the oldest open gap was noticed, None while no version is missing.
+        confirmed_at: when a message, changes or none, was last applied; None before the first.
     """
 
     epoch: str = ""
@@ -43,6 +57,11 @@
     last_versions: dict[str, int] = field(default_factory=dict)
     versions_ahead: set[int] = field(default_factory=set)
     gap_since: int | None = None
+    confirmed_at: int | None = None
+
+    def revision(self) -> ListRevision:
+        """Returns what a decision taken now rests on."""
+        return ListRevision(self.version, self.confirmed_at)
 
     def apply(self, now: int, message: EndpointListMessage) -> list[EndpointEntry]:
         """Applies a message.
@@ -55,6 +74,7 @@
             The entries that changed, in the message's order; engines that a whole list leaves out follow,
             with state "gone".
         """
+        self.confirmed_at = now
         if message.epoch != self.epoch:
             if not message.is_snapshot:
                 self._mark_gap(now)
--- a/runspool/node/discovery_client.py
+++ b/runspool/node/discovery_client.py
@@ -14,8 +14,9 @@
 from runspool.engines.failure_classification import ExchangeAbortedError, FailureCause
 from runspool.engines.http_exchange import Exchange, HttpExchangeClient, encode_request
 from runspool.engines.response_parser import ResponseParser
+from runspool.node.discovery_call import CallEnd, DiscoveryCall, DiscoveryCallLog
 from runspool.node.endpoint_list import InvalidEndpointListError, decode_endpoint_list, request_target
-from runspool.units import UNITS_PER_SECOND, tenths
+from runspool.units import TENTHS, UNITS_PER_SECOND, tenths
 from runspool.wire.endpoint_list import EndpointEntry
 
 # What a silent watch misses counts as announced 6 s after the silence began, or later; what an agent sends
@@ -31,6 +32,16 @@
 MS_PER_SECOND = 1_000
 
 
+class _DiscoveryExchange(Exchange):
+    """The exchange of a call."""
+
+    __slots__ = ("call",)
+
+    def __init__(self, call: DiscoveryCall) -> None:
+        super().__init__()
+        self.call = call
+
+
 class DiscoveryClient(HttpExchangeClient):
     """Follows the endpoint list of the platform's discovery agent.
 
@@ -63,6 +74,9 @@
         self.round_started_at = 0
         self.snapshot_received = anyio.Event()
         self.last_progress_at = 0
+        self.call_log = DiscoveryCallLog(tracker)
+        self.calls_made = 0
+        self.calls_out = 0
 
     def classify_response(self, reply: ResponseParser, body: bytes) -> tuple[FailureCause, str]:
         """Every response that is not a success counts as a server error."""
@@ -158,7 +172,25 @@
                 longer than `MAX_RESPONSE_MS`.
         """
         wait_ms = 0 if after_version is None else WATCH_WAIT_MS
-        exchange = Exchange()
+        self.calls_made += 1
+        call = DiscoveryCall(self.calls_made, address, after_version, tenths(wait_ms), self.now())
+        self.calls_out += 1
+        end, reason = CallEnd.SUPERSEDED, ""
+        try:
+            body = await self._exchange(call)
+            end = CallEnd.ANSWERED
+            return body
+        except ExchangeAbortedError as fault:
+            end, reason = CallEnd.FAILED, str(fault)
+            raise
+        finally:
+            self.calls_out -= 1
+            self.call_log.ended(call, end, self.now(), self.calls_out, reason)
+
+    async def _exchange(self, call: DiscoveryCall) -> bytes:
+        """Carries out one call; as in `_get`."""
+        wait_ms, address, after_version = call.wait / TENTHS, call.address, call.after_version
+        exchange = _DiscoveryExchange(call)
         timeout = tenths(wait_ms + SILENCE_TIMEOUT_MS)
         with self._start_timer(timeout) as timer, self._managed_connection(exchange):
             headers = {"Host": f"{address[0]}:{address[1]}"}
@@ -172,4 +204,6 @@
     async def _read_more(self, exchange: Exchange, cut: FailureCause) -> None:
         await super()._read_more(exchange, cut)
         self.last_progress_at = self.now()
+        if isinstance(exchange, _DiscoveryExchange):
+            exchange.call.received_bytes(self.now())
         exchange.timer.extend(tenths(SILENCE_TIMEOUT_MS))
--- a/runspool/service/attempt_runner.py
+++ b/runspool/service/attempt_runner.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from runspool.discovery.endpoint_tracker import ListRevision
 from runspool.engines.attempt_result import AttemptResult
 from runspool.engines.exchange_timer import effective_timeout
 from runspool.engines.failure_classification import STATUS_BY_CAUSE, FailureCause
@@ -34,6 +35,7 @@
         fault in the exchange ends this attempt only; a fault in the scheduler ends this request only.
         """
         executor = self.executor
+        decided_on = executor.endpoint_tracker.revision()
         await executor.before_attempt(pending, endpoint)
         sent_at, attempt = now(), pending.attempt_count
         limit = effective_timeout(
@@ -50,6 +52,7 @@
             result = await self._exchange(pending, endpoint, attempt, sent_at, limit)
         try:
             self._attempt_ended(pending, endpoint, attempt, sent_at, result)
+            self._log_result(pending, endpoint, attempt, sent_at, result, decided_on)
             executor.after_attempt(pending, endpoint, attempt, result)
         except Exception as fault:  # noqa: BLE001 - a fault at one request must not end the others
             executor.handle_scheduler_failure(executor.scheduler_for(pending), pending.index, fault)
@@ -96,7 +99,6 @@
         elif result.status is AttemptStatus.STATE_MISSING:
             executor.set_prefill_endpoint(pending, None, None)
         is_final = self._finish_if_final(pending, result)
-        self._log_result(pending, endpoint, attempt, ended_at - sent_at, result)
         outcome = AttemptOutcome(
             result.status,
             ended_at - sent_at,
@@ -131,7 +133,13 @@
         return pending.final_response is not None
 
     def _log_result(
-        self, pending: RequestT, endpoint: Endpoint, attempt: int, duration: int, result: AttemptResult
+        self,
+        pending: RequestT,
+        endpoint: Endpoint,
+        attempt: int,
+        sent_at: int,
+        result: AttemptResult,
+        decided_on: ListRevision,
     ) -> None:
         executor = self.executor
         executor.counts[f"attempt_{result.status.name.lower()}"] += 1
@@ -143,10 +151,12 @@
             "status": result.status.name,
             "failure_cause": result.failure_cause and result.failure_cause.name,
             "detail": result.detail,
-            "duration": duration,
+            "duration": now() - sent_at,
             "reached_engine": result.reached_engine,
             "cached_tokens": result.cached_tokens,
             "output_tokens": result.output_tokens,
+            "list_version": decided_on.version,
+            "list_age": None if decided_on.confirmed_at is None else sent_at - decided_on.confirmed_at,
         }
         executor.log.debug("attempt_finished", **details)
         if result.failure_cause is not None:
