Red: a node is never told of a drain by an agent that answers later than 0.4 s

Agents that answer at once after 4 s of silence, whether they hold or drop what they were asked, are seen within 0.25 s: that hypothesis is excluded.

--- a/tests/node_platform/agent.py
+++ b/tests/node_platform/agent.py
@@ -7,8 +7,10 @@
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
+from functools import partial
 
 from tests.fault_proxy import HOST
+from tests.node_platform.agent_pace import AgentPace
 from tests.node_platform.engine import ScriptedEngine
 from tests.node_platform.http_messages import ReceivedRequest, http_response, read_request
 from tests.node_platform.observed_peers import ObservedPeers
@@ -27,6 +29,7 @@
         self.list_scripts: list[bytes | None] = []  # the agent's next responses; None for silence
         self.list_gate = asyncio.Event()  # while clear, the agent receives requests and sends nothing
         self.list_gate.set()
+        self.pace = AgentPace()
 
     def listed(self, snapshot: bool = True) -> bytes:
         """Return the endpoint list as it is now."""
@@ -81,16 +84,19 @@
 
     async def _serve_agent(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         async with self.serving(writer):
-            while True:
-                request = await read_request(reader)
-                self.lists.append(request.target)
-                self.changed()
-                await self.list_gate.wait()
-                body = await self._next_body(request)
-                if body is None:
-                    await reader.read()
-                    return
-                writer.write(body if body.startswith(b"HTTP/") else http_response(200, body))
+            with self.pace.connection(reader) as may_stay:
+                while may_stay:
+                    request = await read_request(reader)
+                    self.lists.append(request.target)
+                    self.changed()
+                    await self.list_gate.wait()
+                    if not await self.pace.answer(writer, partial(self._next_response, request)):
+                        await reader.read()
+                        return
+
+    async def _next_response(self, request: ReceivedRequest) -> bytes | None:
+        body = await self._next_body(request)
+        return body if body is None or body.startswith(b"HTTP/") else http_response(200, body)
 
     async def _next_body(self, request: ReceivedRequest) -> bytes | None:
         """Return the scripted body if there is one, else the list; a watch waits for its next version."""
