--- /dev/null
+++ b/runspool/node/discovery_call_log.py
@@ -0,0 +1,80 @@
+"""The log of the calls for the endpoint list, and of what they amount to."""
+
+from __future__ import annotations
+
+from collections import Counter
+from enum import Enum
+
+import structlog
+
+from runspool.discovery.endpoint_tracker import EndpointTracker
+from runspool.logs import BoundedLog
+from runspool.node.discovery_call import DiscoveryCall
+from runspool.node.discovery_call_planner import DiscoveryCallPlanner, DiscoveryState
+from runspool.units import TENTHS
+
+SLOW_ANSWER = 1_000  # tenths of a millisecond beyond a watch's wait from which its answer is logged
+
+
+class CallEnd(Enum):
+    """How a call for the endpoint list ended."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    SUPERSEDED = "superseded"  # a call made later has been answered
+    GIVEN_UP = "given_up"
+
+
+class DiscoveryCallLog:
+    """Logs the calls that did not go as usual and each change of the state, and counts all calls.
+
+    Attributes:
+        counts: calls by how they ended.
+    """
+
+    def __init__(self, tracker: EndpointTracker, counts: Counter[str]) -> None:
+        self.tracker = tracker
+        self.counts = counts
+        self.log = structlog.get_logger()
+        self.bounded_log = BoundedLog()
+
+    def ended(
+        self, call: DiscoveryCall, end: CallEnd, now: int, planner: DiscoveryCallPlanner, reason: str = ""
+    ) -> None:
+        """Logs the end of a call at `now`, tenths of a millisecond; `reason` says why it failed."""
+        self.counts[f"discovery_call_{end.value}"] += 1
+        is_usual = end is CallEnd.ANSWERED and now - call.made_at - call.wait < SLOW_ANSWER
+        write = self.log.debug if is_usual else self.bounded_log.info
+        write(
+            "discovery_call_ended",
+            call=call.number,
+            how=end.value,
+            reason=reason,
+            after=call.after_version,
+            age_ms=(now - call.made_at) / TENTHS,
+            first_byte_ms=None
+            if call.first_byte_at is None
+            else (call.first_byte_at - call.made_at) / TENTHS,
+            **self._situation(now, planner),
+        )
+
+    def state_changed(
+        self, former: DiscoveryState, state: DiscoveryState, now: int, planner: DiscoveryCallPlanner
+    ) -> None:
+        """Logs a change of the state."""
+        self.counts[f"discovery_{state.value}"] += 1
+        self.bounded_log.info(
+            "discovery_state_changed", former=former.value, state=state.value, **self._situation(now, planner)
+        )
+
+    def _situation(self, now: int, planner: DiscoveryCallPlanner) -> dict[str, object]:
+        return {
+            "calls_out": len(planner.calls_out),
+            "answer_time_ms": planner.answer_time / TENTHS,
+            "version": self.tracker.version,
+            "confirmed_ms_ago": _milliseconds_between(self.tracker.confirmed_at, now),
+        }
+
+
+def _milliseconds_between(since: int | None, until: int | None) -> float | None:
+    return None if since is None or until is None else (until - since) / TENTHS
--- /dev/null
+++ b/runspool/node/discovery_call_planner.py
@@ -0,0 +1,227 @@
+"""When the next call for the endpoint list is made, and what the answer to each call is worth. Free of I/O.
+
+Waiting and asking are separate. A call stays out as long as its connection lives, however slow the agent is,
+and any answer is used; further calls are made beside it only to notice the return of an agent that has
+dropped the earlier ones. How many are out is bounded, and their pace follows how long the agent's answers
+take, so that an agent that is merely slow is not asked faster than it answers.
+
+Times are in tenths of a millisecond.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from runspool.engines.connection_pool import Address
+from runspool.node.discovery_call import DiscoveryCall
+
+WATCH_WAIT = 10_000  # that the agent may hold a watch open
+MIN_PATIENCE = 4_000  # beyond the wait, until other calls are made beside a watch that is not answered
+MAX_PATIENCE = 20_000  # also for a slow agent: a silent one must be noticed within seconds
+MIN_SEARCH_INTERVAL = 1_000  # between two calls while none is answered
+MAX_SEARCH_INTERVAL = 20_000
+SEARCH_INTERVAL_JITTER = 0.2  # share by which an interval is shortened at most
+MIN_WATCH_INTERVAL = 500  # between two watches, also where each is answered at once
+ARRIVING_INTERVAL = 10_000  # between two calls while an answer is arriving: each slows the others
+ARRIVAL_PAUSE = 4_000  # since the last piece of an answer, after which it is not arriving any more
+MAX_ARRIVAL = 30_000  # since the first piece: one that goes on for longer does not delay other calls
+MAX_CALLS_OUT = 6
+
+
+class DiscoveryState(Enum):
+    """What a node is doing about its endpoint list."""
+
+    WATCHING = "watching"  # a watch is out, and is not overdue
+    SUSPECT = "suspect"  # the watch is overdue; the whole list is requested beside it
+    SEARCHING = "searching"  # no watch is out; the whole list is requested
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedCall:
+    """A call to make now.
+
+    Attributes:
+        call: the call.
+        given_up: a call that is out and makes room for it, if one has to.
+    """
+
+    call: DiscoveryCall
+    given_up: DiscoveryCall | None
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What an answer is worth.
+
+    Attributes:
+        is_usable: whether it may be applied; an older one must not undo what a later call has brought.
+        superseded: calls that are out and not needed any more.
+    """
+
+    is_usable: bool
+    superseded: list[DiscoveryCall]
+
+
+class DiscoveryCallPlanner:
+    """Plans the calls to the agent at one address, and keeps track of those that are out.
+
+    Attributes:
+        address: the agent that is called.
+        calls_out: the calls that are out, the oldest first.
+        answer_time: how long the agent took to begin the answer to the latest of the calls answered.
+    """
+
+    def __init__(self, address: Address, random: Callable[[], float]) -> None:
+        """`random` returns numbers from 0 to 1."""
+        self.address = address
+        self.random = random
+        self.calls_made = 0
+        self.answer_time = 0
+        self.restart()
+
+    def restart(self) -> None:
+        """Forgets the calls that are out; the next one is made at once."""
+        self.calls_out: list[DiscoveryCall] = []
+        self._watch: DiscoveryCall | None = None
+        self._needs_watch = False  # an answer has come, and no watch is out
+        self._version = 0  # after which to watch
+        self._applied_at: int | None = None  # when the last answer was applied; None at a new address
+        self._last_answered = 0  # the number of the latest of the calls answered
+        self._last_made_at: int | None = None
+        self._last_watch_at: int | None = None
+        self._search_interval = MIN_SEARCH_INTERVAL
+
+    def change_address(self, address: Address) -> list[DiscoveryCall]:
+        """Calls another agent from now on.
+
+        A watch that is out at the former one stays out until the new one has answered.
+
+        Returns:
+            The calls that are not needed any more.
+        """
+        former_watch = self._watch
+        dropped = [call for call in self.calls_out if call is not former_watch]
+        self.restart()
+        self.address = address
+        self.answer_time = 0
+        if former_watch is not None:
+            self.calls_out.append(former_watch)
+        return dropped
+
+    def state(self, now: int) -> DiscoveryState:
+        """Returns what the calls that are out amount to."""
+        if self._needs_watch:
+            return DiscoveryState.WATCHING
+        if self._watch is None:
+            return DiscoveryState.SEARCHING
+        return DiscoveryState.WATCHING if now < self._overdue_at(self._watch) else DiscoveryState.SUSPECT
+
+    def next_call_at(self, now: int) -> int:
+        """Returns when the next call is to be made, if nothing happens before."""
+        if self._needs_watch:
+            return now if self._last_watch_at is None else self._last_watch_at + MIN_WATCH_INTERVAL
+        if self._last_made_at is None:
+            return now
+        interval = ARRIVING_INTERVAL if self._is_any_arriving(now) else self._search_interval
+        search_at = self._last_made_at + interval
+        return search_at if self._watch is None else max(search_at, self._overdue_at(self._watch))
+
+    def make_call(self, now: int) -> PlannedCall:
+        """Counts the next call as made: a watch where an answer has come, else one for the whole list."""
+        self.calls_made += 1
+        call = DiscoveryCall(self.calls_made, self.address, None, 0, now)
+        if self._needs_watch:
+            call.after_version, call.wait = self._version, WATCH_WAIT
+            self._watch, self._needs_watch, self._last_watch_at = call, False, now
+        given_up = self._least_useful(now) if len(self.calls_out) >= MAX_CALLS_OUT else None
+        if given_up is not None:
+            self.calls_out.remove(given_up)
+        self.calls_out.append(call)
+        self._last_made_at = now
+        interval = min(max(self.answer_time // 2, MIN_SEARCH_INTERVAL), MAX_SEARCH_INTERVAL)
+        self._search_interval = int(interval * (1 - SEARCH_INTERVAL_JITTER * self.random()))
+        return PlannedCall(call, given_up)
+
+    def answered(self, call: DiscoveryCall, version: int, now: int) -> Answer:
+        """Counts a call as answered with the list, or its changes, at a version.
+
+        An answer is newer than all that had come when its call was made, whatever its version: an agent that
+        lost its version numbers begins at a low one. Where calls overlap, the higher version is the newer.
+        """
+        if call not in self.calls_out:
+            return Answer(is_usable=False, superseded=[])
+        self.calls_out.remove(call)
+        if call.address != self.address:
+            return Answer(is_usable=version > self._version, superseded=[])
+        superseded = [other for other in self.calls_out if other.number < call.number]
+        for other in superseded:
+            self._remove(other)
+        self._measure(call, now)
+        is_newer = self._applied_at is None or call.made_at >= self._applied_at
+        is_usable = is_newer or version > self._version
+        if is_usable:
+            self._version, self._applied_at = version, now
+        if call is self._watch:
+            self._watch = None
+        self._needs_watch = self._watch is None
+        return Answer(is_usable, superseded)
+
+    def failed(self, call: DiscoveryCall) -> None:
+        """Counts a call as failed: its connection was refused or lost, or its answer is unusable."""
+        if call in self.calls_out:
+            self._remove(call)
+
+    def _remove(self, call: DiscoveryCall) -> None:
+        self.calls_out.remove(call)
+        if call is self._watch:
+            self._watch = None
+
+    def _measure(self, call: DiscoveryCall, now: int) -> None:
+        """Takes the answer time from a call, unless one made later was answered before."""
+        if call.number < self._last_answered:
+            return
+        self._last_answered = call.number
+        began_at = now if call.first_byte_at is None else call.first_byte_at
+        time = began_at - call.made_at - call.wait
+        if time >= 0:  # else a change ended the wait, and how long the answer took is not known
+            self.answer_time = time
+
+    def _overdue_at(self, watch: DiscoveryCall) -> int:
+        """Returns from when a watch counts as overdue; one whose answer takes long to arrive is old."""
+        patience = min(max(self.answer_time * 3 // 2, MIN_PATIENCE), MAX_PATIENCE)
+        overdue_at = watch.made_at + watch.wait + patience
+        return (
+            overdue_at if watch.first_byte_at is None else min(overdue_at, watch.first_byte_at + MIN_PATIENCE)
+        )
+
+    def _is_any_arriving(self, now: int) -> bool:
+        return any(_is_arriving(call, now) for call in self.calls_out)
+
+    def _least_useful(self, now: int) -> DiscoveryCall:
+        """Returns the call to give up, so that the ages of the others grow by about the same factor.
+
+        Neither the oldest, which a slow agent answers first, nor the watch. One that is arriving only where
+        all are.
+        """
+        made_at = [*(call.made_at for call in self.calls_out), now]
+
+        def usefulness(position: int) -> tuple[bool, float]:
+            older_age = now - made_at[position - 1]
+            newer_age = now - made_at[position + 1]
+            return _is_arriving(self.calls_out[position], now), older_age / max(1, newer_age)
+
+        inner = [
+            position
+            for position in range(1, len(self.calls_out))
+            if self.calls_out[position] is not self._watch
+        ]
+        return self.calls_out[min(inner, key=usefulness)]
+
+
+def _is_arriving(call: DiscoveryCall, now: int) -> bool:
+    """Returns whether the answer has begun, is not whole, and has not paused."""
+    if call.first_byte_at is None or call.last_byte_at is None:
+        return False
+    return now - call.last_byte_at < ARRIVAL_PAUSE and now - call.first_byte_at < MAX_ARRIVAL
--- a/runspool/node/server.py
+++ b/runspool/node/server.py
@@ -7,6 +7,7 @@
 import resource
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from random import Random
 
 import anyio
 import structlog
@@ -20,6 +21,7 @@
     UnreadableNodeConfigError,
     read_node_config,
 )
+from runspool.node.discovery_call_planner import MAX_CALLS_OUT, DiscoveryCallPlanner
 from runspool.node.discovery_client import DiscoveryClient
 from runspool.node.executor import ConnectionSettings, NodeExecutor
 from runspool.node.graceful_shutdown import GracefulShutdown
@@ -37,6 +39,8 @@
 # Of the descriptors not reserved. Requests use a third of all at most, and silent clients can be dropped.
 CLIENT_SHARE = 0.45
 MAX_LIST_BYTES = 16 << 20
+DISCOVERY_CONNECT_MS = 3_600_000  # the system gives up sooner; a connection that comes up late is used
+CLOSING_DISCOVERY_CONNECTIONS = 2  # beside those of the calls that are out
 CONFIG_RETRY_DURATION = 30_000  # tenths of a millisecond that an unusable configuration is read again for
 CONFIG_RETRY_SECONDS = 0.25  # between two readings
 FIRST_LIST_WAIT_SECONDS = 1.5  # that a start waits for a first whole list, as the agent may be silent
@@ -67,17 +71,18 @@
         self.connections = ClientConnections(self.executor, max_clients)
         self.discovery = DiscoveryClient(
             ConnectionSettings(
-                connect_ms=1_000,
+                connect_ms=DISCOVERY_CONNECT_MS,
                 idle_ms=60_000,
-                connections_each=6,
+                connections_each=MAX_CALLS_OUT + CLOSING_DISCOVERY_CONNECTIONS,
                 idle_each=1,
                 read_answer_bytes=MAX_LIST_BYTES,
             ),
-            config.discovery,
+            DiscoveryCallPlanner(config.discovery, Random(config.seed).random),
             self.executor.endpoint_tracker,
             now,
             self.executor.endpoints_changed,
             self.executor.scheduler.subscription_lost,
+            self.executor.counts,
         )
         self.config_reloads = 0  # reloads begun; a reload gives up once another has begun
         self.stop_request = stop_request or StopRequest()
--- a/tests/test_endpoint_watch_faults.py
+++ b/tests/test_endpoint_watch_faults.py
@@ -11,12 +11,15 @@
 import pytest
 from msgspec.structs import replace
 
-from runspool.node import discovery_client
+from runspool.node import discovery_call_planner
 from runspool.node import server as node_server
+from runspool.node.discovery_call_planner import MIN_PATIENCE, MIN_SEARCH_INTERVAL, WATCH_WAIT
 from runspool.scheduling.types import EngineState
-from runspool.units import tenths
+from runspool.service.clock import now
+from runspool.units import TENTHS, tenths
 from tests.node_platform.client import post
 from tests.node_platform.http_messages import http_response
+from tests.node_platform.inspection import until
 from tests.node_platform.platform import Platform
 
 pytestmark = pytest.mark.anyio
@@ -103,12 +106,13 @@
 async def test_a_reset_watch_is_opened_anew_without_a_pause(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(discovery_client, "RETRY_INTERVAL_S", 600.0)
+    monkeypatch.setattr(discovery_call_planner, "MIN_SEARCH_INTERVAL", tenths(600_000))
+    monkeypatch.setattr(discovery_call_planner, "MAX_SEARCH_INTERVAL", tenths(600_000))
     platform = Platform(tmp_path, PAIR | {"s": "prefill"})
     async with platform.inside() as running:
         await platform.until(lambda: any("after=" in target for target in platform.lists))
-        # It has stood for as long as two attempts lie apart.
-        monkeypatch.setattr(running.discovery, "round_started_at", -tenths(600_000), raising=False)
+        # It has stood for as long as two calls lie apart.
+        running.discovery.planner._last_made_at = now() - tenths(600_000)
         await reset_connections(platform)
         platform.tell(s="leaving")  # changed while no watch is open
         await platform.until(lambda: any("after=2" in target for target in platform.lists))
@@ -116,10 +120,8 @@
 
 
 async def test_an_agent_that_never_answers_requests_made_in_an_outage_is_asked_anew(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    tmp_path: Path,
 ) -> None:
-    # No attempt times out: another is begun beside it.
-    monkeypatch.setattr(discovery_client, "SILENCE_TIMEOUT_MS", 600_000)
     platform = Platform(tmp_path, PAIR | {"s": "prefill"})
     async with platform.inside() as running:
         await platform.until(lambda: any("after=" in target for target in platform.lists))
@@ -128,13 +130,12 @@
         platform.tell(s="leaving")
         await platform.until(lambda: any("after=2" in target for target in platform.lists))
         assert running.executor.engine_records["s"].state == EngineState.DRAINING
-        open_counts = running.discovery.pool.open_counts
-        assert len(open_counts) == 1 and sum(open_counts.values()) == 1
+        await until(lambda: list(running.discovery.pool.open_counts.values()) == [1])
 
 
 async def test_silence_of_the_agent_is_noticed_within_what_the_platform_allows() -> None:
-    noticed_after_ms = discovery_client.WATCH_WAIT_MS + discovery_client.SILENCE_TIMEOUT_MS
-    two_retries_ms = 2 * 1000 * discovery_client.RETRY_INTERVAL_S
+    noticed_after_ms = (WATCH_WAIT + MIN_PATIENCE) / TENTHS
+    two_retries_ms = 2 * MIN_SEARCH_INTERVAL / TENTHS
     assert noticed_after_ms + two_retries_ms < 2_000  # an outage lasts some seconds
     assert two_retries_ms <= 250  # a drain's grace, from the agent's return on
 
--- a/tests/test_slow_discovery_agent.py
+++ b/tests/test_slow_discovery_agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from pathlib import Path
 
 import pytest
@@ -59,6 +60,17 @@
         await ask_and_expect_no_attempt_at_drained(platform)
 
 
+async def test_node_is_told_of_a_drain_while_an_older_list_arrives_in_pieces(tmp_path: Path) -> None:
+    # The older list, once it was whole, cancelled the later call that was being answered.
+    async with Platform(tmp_path, ENGINES).open() as platform:
+        platform.pace.pieces, platform.pace.piece_interval = 8, 0.4
+        whole_after = 7 * 0.4
+        platform.tell()
+        await asyncio.sleep(0.3)
+        took = await drained_in(platform)
+        assert took < 1.0 + whole_after + RETURN_SEEN_WITHIN  # a call made within a second of the change
+
+
 @pytest.mark.parametrize("drops", [False, True])
 async def test_return_of_the_agent_is_seen_within_a_tenth_of_a_second(drops: bool, tmp_path: Path) -> None:
     async with Platform(tmp_path, ENGINES).open() as platform:
@@ -74,6 +86,16 @@
         assert platform.pace.connections <= MOST_CALLS_OUT + 1  # one more may be closing
 
 
+async def test_calls_to_an_agent_that_answers_every_watch_at_once_are_bounded(tmp_path: Path) -> None:
+    # The node asked as fast as it was answered, hundreds of times a second.
+    async with Platform(tmp_path, ENGINES).open() as platform:
+        platform.list_scripts = [platform.listed(snapshot=False)] * 10_000
+        platform.tell()
+        before = len(platform.lists)
+        await asyncio.sleep(2.0)
+        assert len(platform.lists) - before <= 2 * MOST_CALLS_PER_SECOND
+
+
 async def test_calls_in_an_outage_are_bounded(tmp_path: Path) -> None:
     async with Platform(tmp_path, ENGINES).open() as platform:
         platform.pace.begin_outage()
@@ -94,3 +116,15 @@
         async with asyncio.timeout(TOLD_WITHIN):
             await platform.until(lambda: b'"v":"draining"' in platform.log)
         await ask_and_expect_no_attempt_at_drained(platform)
+
+
+async def test_reloads_in_quick_succession_to_a_late_agent_end_at_its_list(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, ENGINES)
+    async with platform.open(), platform.agent() as second_port, platform.agent() as third_port:
+        platform.pace.delay = 1.0
+        for port in (second_port, third_port, second_port):
+            platform.write_config(discovery=f"127.0.0.1:{port}")
+            platform.signal(signal.SIGHUP)
+            await asyncio.sleep(0.05)
+        await drained_in(platform)
+        await ask_and_expect_no_attempt_at_drained(platform)
