--- /dev/null
+++ b/tests/test_discovery_call_planner.py
@@ -0,0 +1,159 @@
+"""The plan of calls for the endpoint list, against agents of any pace on a simulated clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from itertools import pairwise
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from runspool.node.discovery_call import DiscoveryCall
+from runspool.node.discovery_call_planner import MAX_CALLS_OUT, DiscoveryCallPlanner
+from runspool.units import UNITS_PER_SECOND
+
+AGENT, SECOND_AGENT = ("127.0.0.1", 1), ("127.0.0.1", 2)
+MOST_CALLS_PER_SECOND = 25
+RETURN_SEEN_WITHIN = 1_000  # tenths of a millisecond
+STEP = 50  # tenths of a millisecond
+
+
+@dataclass
+class SimulatedAgent:
+    """Answers each call `latency` after it came, or after the end of the watch's wait.
+
+    In an outage, from `down_from` to `down_until`, it answers nothing; then at once, as the list has changed,
+    what it was asked meanwhile, or, if it `drops`, only what it is asked from then on.
+    """
+
+    latency: int
+    down_from: int = 0
+    down_until: int = 0
+    drops: bool = False
+    answers_at: dict[int, int] = field(default_factory=dict)
+
+    def receive(self, call: DiscoveryCall) -> None:
+        """Settle when the call is answered."""
+        at = call.made_at + call.wait + self.latency
+        if call.made_at < self.down_until and at > self.down_from:
+            if self.drops:
+                return
+            at = self.down_until + self.latency
+        self.answers_at[call.number] = at
+
+
+def simulate(agent: SimulatedAgent, duration: int) -> tuple[list[int], list[int]]:
+    """Return when calls were made and when they were answered, by a planner that follows the agent."""
+    planner = DiscoveryCallPlanner(AGENT, Random(1).random)
+    made: list[int] = []
+    answered: list[int] = []
+    for now in range(0, duration, STEP):
+        for call in list(planner.calls_out):
+            if call in planner.calls_out and agent.answers_at.get(call.number, duration) <= now:
+                planner.answered(call, 1, now)
+                answered.append(now)
+        while planner.next_call_at(now) <= now:
+            agent.receive(planner.make_call(now).call)
+            made.append(now)
+            assert len(planner.calls_out) <= MAX_CALLS_OUT
+    return made, answered
+
+
+def most_in_a_second(times: list[int]) -> int:
+    return max(sum(at <= other < at + UNITS_PER_SECOND for other in times) for at in times)
+
+
+@settings(max_examples=60, deadline=None)
+@given(latency=st.integers(0, 60 * UNITS_PER_SECOND))
+def test_agent_of_any_latency_is_heard_and_not_flooded(latency: int) -> None:
+    # A call that is given up before its answer comes is never answered, however often it is repeated.
+    made, answered = simulate(SimulatedAgent(latency), 3 * latency + 10 * UNITS_PER_SECOND)
+    assert answered
+    assert answered[0] <= latency + STEP
+    assert most_in_a_second(made) <= MOST_CALLS_PER_SECOND
+    gaps = [later - earlier for earlier, later in pairwise(answered)]
+    assert all(gap <= latency + 2 * UNITS_PER_SECOND for gap in gaps)
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    drops=st.booleans(),
+    down_from=st.integers(0, 3 * UNITS_PER_SECOND),
+    lasts=st.integers(0, 60 * UNITS_PER_SECOND),
+)
+def test_return_from_an_outage_of_any_length_is_seen_within_a_tenth_of_a_second(
+    drops: bool, down_from: int, lasts: int
+) -> None:
+    agent = SimulatedAgent(0, down_from, down_from + lasts, drops)
+    made, answered = simulate(agent, agent.down_until + 3 * UNITS_PER_SECOND)
+    first = min(at for at in answered if at >= agent.down_until)
+    # A watch that an outage of less than a second has met is found out after its wait.
+    noticed = max(agent.down_until, down_from + 15_000) if drops else agent.down_until
+    assert first <= noticed + RETURN_SEEN_WITHIN + STEP
+    assert most_in_a_second(made) <= MOST_CALLS_PER_SECOND
+
+
+class OutOfOrderAnswers(RuleBasedStateMachine):
+    """Answers in any order, each with the list as it was when its call was made; versions begin anew."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.planner = DiscoveryCallPlanner(AGENT, Random(1).random)
+        self.now = 0
+        self.version = 100
+        self.contents: dict[int, tuple[int, int]] = {}  # version and when it was settled, by call
+        self.applied_at = -1
+        self.made: list[int] = []
+
+    @rule(by=st.integers(0, 30_000))
+    def time_passes(self, by: int) -> None:
+        self.now += by
+
+    @rule(anew=st.booleans())
+    def list_changes(self, anew: bool) -> None:
+        self.now += 1
+        self.version = 1 if anew and self.version > 50 else self.version + 1
+
+    @precondition(lambda self: self.planner.next_call_at(self.now) <= self.now)
+    @rule()
+    def call(self) -> None:
+        call = self.planner.make_call(self.now).call
+        self.contents[call.number] = self.version, self.now
+        self.made.append(self.now)
+
+    @precondition(lambda self: self.planner.calls_out)
+    @rule(data=st.data())
+    def answer(self, data: st.DataObject) -> None:
+        call = data.draw(st.sampled_from(self.planner.calls_out))
+        version, settled_at = self.contents[call.number]
+        if call.after_version is not None and version < call.after_version:
+            self.planner.failed(call)  # changes that begin before what was asked for
+            return
+        if self.planner.answered(call, version, self.now).is_usable and call.address == self.planner.address:
+            assert settled_at >= self.applied_at, "an older list has undone a newer one"
+            self.applied_at = settled_at
+
+    @precondition(lambda self: self.planner.calls_out)
+    @rule(data=st.data())
+    def fail(self, data: st.DataObject) -> None:
+        self.planner.failed(data.draw(st.sampled_from(self.planner.calls_out)))
+
+    @rule()
+    def change_address(self) -> None:
+        other = SECOND_AGENT if self.planner.address == AGENT else AGENT
+        self.planner.change_address(other)
+        self.now += 1
+        self.applied_at = -1
+
+    @invariant()
+    def calls_out_are_bounded(self) -> None:
+        assert len(self.planner.calls_out) <= MAX_CALLS_OUT
+
+    @invariant()
+    def another_call_is_due_in_bounded_time(self) -> None:
+        assert self.planner.next_call_at(self.now) <= self.now + 40_000
+
+
+TestOutOfOrderAnswers = OutOfOrderAnswers.TestCase
