An attempt that was connecting while its engine was taken off the list sends nothing

Faulty: HttpExchangeClient._transmit. The permit is now asked before the first byte as well. The test of a change learned while connecting now looks at every byte; it failed in its three cases before.

--- a/runspool/engines/http_exchange.py
+++ b/runspool/engines/http_exchange.py
@@ -142,6 +142,7 @@
 
     async def _transmit(self, exchange: Exchange, timer: ExchangeTimer, encode: RequestEncoder) -> None:
         connection = exchange.connection
+        self._require_permission(exchange.permit.deny_first_byte())
         encoded_at = self.now()
         observation_time = self._observation_time(connection)
         # Encoded only now: the time that is left has shrunk while the connection was established.
@@ -149,15 +150,17 @@
         # The last byte is held back: the engine cannot have started before it is sent, so that a connection
         # that broke while it was idle leaves no doubt about what was executed.
         await self._send_all_but_last_byte(connection, request, observation_time)
-        reason = exchange.permit.deny_last_byte(encoded_at)
-        if reason is not None:
-            raise ExchangeAbortedError(FailureCause.NOT_PERMITTED, reason)
+        self._require_permission(exchange.permit.deny_last_byte(encoded_at))
         try:
             await connection.tcp.send(request[-1:])
         except ConnectionClosedError as error:
             raise ExchangeAbortedError(FailureCause.CLOSED_BEFORE_RESPONSE, str(error)) from None
         exchange.permit.request_written()
 
+    def _require_permission(self, denial: str | None) -> None:
+        if denial is not None:
+            raise ExchangeAbortedError(FailureCause.NOT_PERMITTED, denial)
+
     async def _send_all_but_last_byte(
         self, connection: PooledConnection, request: bytes, observation_time: int
     ) -> None:
--- a/runspool/engines/send_permit.py
+++ b/runspool/engines/send_permit.py
@@ -1,4 +1,4 @@
-"""Permission to send a request's last byte, asked for at the last possible moment."""
+"""Permission to send a request, asked for at the last possible moment before its first and its last byte."""
 
 from __future__ import annotations
 
@@ -8,6 +8,9 @@
 class SendPermit(Protocol):
     """Decides whether an exchange may proceed, and is notified of its progress."""
 
+    def deny_first_byte(self) -> str | None:
+        """Return why nothing of the request may be sent now; None where it may."""
+
     def deny_last_byte(self, encoded_at: int) -> str | None:
         """Return why the last byte may not be sent now; None where it may.
 
@@ -24,6 +27,10 @@
 class UnrestrictedPermit:
     """Permits everything and ignores the notifications."""
 
+    def deny_first_byte(self) -> str | None:
+        """Permit the first byte."""
+        return None
+
     def deny_last_byte(self, encoded_at: int) -> str | None:
         """Permit the last byte."""
         return None
--- a/runspool/service/attempt_permit.py
+++ b/runspool/service/attempt_permit.py
@@ -19,6 +19,10 @@
         self.pending = pending
         self.endpoint = endpoint
 
+    def deny_first_byte(self) -> str | None:
+        """Why nothing of the request may be sent: its engine was taken off the list while it connected."""
+        return WITHDRAWN if self.registry.is_withdrawn(self.endpoint) else None
+
     def deny_last_byte(self, encoded_at: int) -> str | None:
         """Why the request's last byte must not be sent now, or None if it may be.
 
@@ -27,7 +31,7 @@
         denial = self.pending.lifecycle.deny_last_byte(now(), encoded_at)
         if denial is not None:
             return denial.value
-        return WITHDRAWN if self.registry.is_withdrawn(self.endpoint) else None
+        return self.deny_first_byte()
 
     def request_written(self) -> None:
         """The kernel has taken the whole request; the engine may or may not receive it."""
--- a/tests/test_node_attempts.py
+++ b/tests/test_node_attempts.py
@@ -119,12 +119,17 @@
 async def test_a_change_learned_while_connecting_bars_the_attempt(
     change: Callable[[Platform], None], tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    # A send to a draining engine counts from its first byte.
+    sent: list[bytes] = []
     connecting, proceed = asyncio.Event(), asyncio.Event()
 
     async def delayed_connect(address: tuple[str, int], source: str | None) -> TcpConnection:
         if address[1] == platform.engines["w"].port:
             connecting.set()
             await proceed.wait()
+            connection = await connect(address, source)
+            monkeypatch.setattr(connection, "write", sent.append)
+            return connection
         return await connect(address, source)
 
     platform = Platform(tmp_path, PAIR)
@@ -136,4 +141,4 @@
         await until(lambda: running.executor.endpoint_tracker.version == platform.version)
         proceed.set()
         assert (await response).status == 503  # known not to have executed
-        assert platform.attempts("q1", "decode") == []
+        assert platform.attempts("q1", "decode") == [] == sent
