A release is confirmed by engines that answer, or come up, later than a round of calls waits

Rounds stay short, as time goes on while connections fail; beside them one call is made that is given twice the time of the one before, four at once at most. Both tests failed before: 15 s without a confirmation, and without a call reaching an engine whose connections take 0.8 s.

--- a/runspool/engines/connection_pool.py
+++ b/runspool/engines/connection_pool.py
@@ -98,15 +98,16 @@
         self.idle: dict[Address, deque[PooledConnection]] = {}  # the longest idle first
         self.open_counts: dict[Address, int] = {}  # idle and in use
 
-    async def acquire(self, address: Address) -> PooledConnection:
+    async def acquire(self, address: Address, connect_ms: float | None = None) -> PooledConnection:
         """Return an idle connection that is still usable, or a new one.
 
-        Cancelled, it leaves no connection open that it opened.
+        Cancelled, it leaves no connection open that it opened. `connect_ms` is the time limit for opening it
+        where that is not the one of the settings.
 
         Raises:
             ConnectionLimitError: A limit is reached.
             OSError: The connection cannot be established.
-            TimeoutError: It is not established in `connect_ms`.
+            TimeoutError: It is not established in that time.
         """
         connection = self._take_idle(address)
         if connection is not None:
@@ -115,7 +116,7 @@
             raise ConnectionLimitError(f"{address[0]}:{address[1]}")
         if self._limit_reached(address) and not self._close_longest_idle():
             raise ConnectionLimitError(f"all {self.max_connections} connections to engines are in use")
-        return await self._open(address)
+        return await self._open(address, self.settings.connect_ms if connect_ms is None else connect_ms)
 
     def release(self, connection: PooledConnection) -> None:
         """Keep a connection whose exchange has ended where it can be used again, else close it."""
@@ -177,12 +178,12 @@
         self.discard(connection)
         return False
 
-    async def _open(self, address: Address) -> PooledConnection:
+    async def _open(self, address: Address, connect_ms: float) -> PooledConnection:
         # Counted before it is open, so that concurrent callers cannot pass the limit together.
         self.open_counts[address] = self.open_counts.get(address, 0) + 1
         started = self.now()
         try:
-            with anyio.fail_after(self.settings.connect_ms / 1000):
+            with anyio.fail_after(connect_ms / 1000):
                 tcp = await connect(address, self.settings.source_address)
         except BaseException:
             self._count_closed(address)
--- a/runspool/engines/http_exchange.py
+++ b/runspool/engines/http_exchange.py
@@ -124,11 +124,16 @@
             self.watchdog.unwatch(wait)
 
     async def _send_request(
-        self, exchange: Exchange, timer: ExchangeTimer, address: Address, encode: RequestEncoder
+        self,
+        exchange: Exchange,
+        timer: ExchangeTimer,
+        address: Address,
+        encode: RequestEncoder,
+        connect_ms: float | None = None,
     ) -> None:
-        """Acquire a connection for the exchange and send the whole request on it."""
+        """Acquire a connection for the exchange, as the pool does, and send the whole request on it."""
         try:
-            exchange.connection = await self.pool.acquire(address)
+            exchange.connection = await self.pool.acquire(address, connect_ms)
         except ConnectionLimitError as error:
             raise ExchangeAbortedError(FailureCause.CONNECTION_LIMIT_REACHED, str(error)) from None
         except Exception as error:  # noqa: BLE001 - whatever the event loop raises, nothing has been sent
--- a/runspool/node/engine_client.py
+++ b/runspool/node/engine_client.py
@@ -121,7 +121,7 @@
     async def release_state(self, address: Address, request: str, limit: int) -> FailureCause | None:
         """Release all state held for a request, at any engine; None once confirmed, else the failure.
 
-        `limit` is in tenths of a millisecond. Cancelled, it closes the connection.
+        `limit` is in tenths of a millisecond, connecting included. Cancelled, it closes the connection.
         """
         exchange = Exchange()
         try:
@@ -131,6 +131,7 @@
                     timer,
                     address,
                     lambda remaining: encode_request("DELETE", f"/state/{request}", {"Host": HOST}),
+                    connect_ms=limit / TENTHS,
                 )
                 await self._read_head(exchange, RELEASED_STATUS)
                 await self._read_body(exchange)
--- a/runspool/node/state_releaser.py
+++ b/runspool/node/state_releaser.py
@@ -14,6 +14,7 @@
 
 import anyio
 import structlog
+from anyio.abc import TaskGroup
 
 from runspool.engines.connection_pool import Address
 from runspool.engines.failure_classification import FailureCause
@@ -29,6 +30,8 @@
 MAX_OVERDUE = 10_000  # requests that wait for a later round; past them the oldest is abandoned and logged
 # Seconds after a confirmation at which the call is repeated, where an attempt may have ended there since.
 REPEAT_DELAYS = (0.1, 0.4)
+MAX_PATIENT_CALLS = 4  # calls at once beside the rounds
+MAX_PATIENCE = 600_000  # tenths of a millisecond that one call beside the rounds may take
 
 
 class ReleaseClient(Protocol):
@@ -44,6 +47,9 @@
 
     `on_confirmed` is called when an engine has confirmed it. `remote_end_unknown` says whether an attempt may
     still end at its engine after that. `done` is set once it is confirmed, withdrawn or abandoned.
+
+    `patience` is the limit of the latest call that was made beside the rounds, tenths of a millisecond, and
+    `patient_scope` cancels that call, None where it has ended.
     """
 
     request: str
@@ -52,6 +58,8 @@
     remote_end_unknown: Callable[[], bool]
     scope: anyio.CancelScope | None = None
     done: anyio.Event = field(default_factory=anyio.Event)
+    patience: int = 0
+    patient_scope: anyio.CancelScope | None = None
 
 
 class StateReleaser:
@@ -80,6 +88,7 @@
         self.overdue: dict[str, PendingRelease] = {}  # those that the first round has not settled
         self.overdue_added = anyio.Event()
         self.rotation = 0  # where the next later round begins among the engines less likely to respond
+        self._patient_calls = 0
         self.log = structlog.get_logger()
 
     async def release(self, release: PendingRelease) -> None:
@@ -119,12 +128,21 @@
 
     async def run(self) -> None:
         """Retry overdue releases until cancelled."""
+        self._patient_calls = 0
+        async with anyio.create_task_group() as patient_calls:
+            await self._retry_overdue(patient_calls)
+
+    async def _retry_overdue(self, patient_calls: TaskGroup) -> None:
         delay = MIN_RETRY_DELAY
         concurrency = 1
         while True:
             if not self.overdue:
                 self.overdue_added = anyio.Event()
                 await self.overdue_added.wait()
+            oldest = next(iter(self.overdue.values()))
+            if oldest.patient_scope is None and self._patient_calls < MAX_PATIENT_CALLS:
+                oldest.patient_scope = anyio.CancelScope()
+                patient_calls.start_soon(self._call_patiently, oldest, oldest.patient_scope)
             if await self._retry_oldest(concurrency):
                 delay = MIN_RETRY_DELAY
                 concurrency = MAX_CONCURRENT_RETRIES
@@ -140,6 +158,23 @@
             with anyio.move_on_after(seconds):
                 await release.done.wait()
 
+    async def _call_patiently(self, release: PendingRelease, scope: anyio.CancelScope) -> None:
+        """Make one call beside the rounds: engines may be slower than a round waits, which others need short.
+
+        Each such call of a release is given twice the time of the one before.
+        """
+        self._patient_calls += 1
+        release.patience = min(max(2 * release.patience, 2 * self.timeout), MAX_PATIENCE)
+        engines = self._later_round_engines() or [release.endpoint]
+        failure: FailureCause | None = FailureCause.CANCELLED
+        with scope:
+            failure = await self.client.release_state(engines[0].address, release.request, release.patience)
+        self._patient_calls -= 1
+        release.patient_scope = None
+        if failure is None and self.pending.get(release.request) is release:
+            self._settle(release)
+            release.on_confirmed()
+
     async def _retry_oldest(self, concurrency: int) -> bool:
         """Retry the oldest overdue releases, so many at once; return whether any was confirmed."""
         oldest = list(self.overdue.values())[:concurrency]
@@ -223,6 +258,8 @@
     def _settle(self, release: PendingRelease) -> None:
         """Remove a release that is no longer pending."""
         release.done.set()
+        if release.patient_scope is not None:
+            release.patient_scope.cancel()
         if self.pending.get(release.request) is release:
             del self.pending[release.request]
             self.count(-1)
--- a/tests/test_node_state_release.py
+++ b/tests/test_node_state_release.py
@@ -7,13 +7,14 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+import anyio
 import pytest
 
 from runspool.engines.attempt_result import AttemptResult
 from runspool.engines.connection_pool import Address
 from runspool.engines.failure_classification import FailureCause
 from runspool.engines.send_permit import SendPermit
-from runspool.node.executor import PendingNodeRequest
+from runspool.node.executor import NodeExecutor, PendingNodeRequest
 from runspool.node.request_parser import ClientRequest
 from runspool.scheduling.types import AttemptStatus
 from runspool.service.clock import now
@@ -201,3 +202,47 @@
         left = node.deadline_guard.attempts_end_at(pending) - now()
         await node.before_attempt(pending, endpoint)
         assert waits[0] <= left / UNITS_PER_SECOND
+
+
+async def test_a_release_is_confirmed_by_engines_that_answer_later_than_a_round_waits(tmp_path: Path) -> None:
+    # Each call was given up before its answer came, and made again for ever.
+    async with Platform(tmp_path, PAIR).inside() as running:
+        node = running.executor
+        releaser = node.state_releaser
+        calls = 0
+
+        async def release(address: Address, request: str, limit: int) -> FailureCause | None:
+            nonlocal calls
+            calls += 1
+            with anyio.move_on_after(limit / UNITS_PER_SECOND):
+                await asyncio.sleep(4 * releaser.timeout / UNITS_PER_SECOND)
+                return None
+            return FailureCause.TIMED_OUT_BEFORE_RESPONSE
+
+        node.engine_client.release_state = release  # type: ignore[method-assign]
+        node.release_prefill_state(_with_prefill_at(node, "r"))
+        await until(lambda: node.releases_in_progress)
+        await until(lambda: not node.releases_in_progress)
+        assert calls < 100
+
+
+async def test_a_release_reaches_engines_that_come_up_later_than_an_attempt_connects(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def late_connect(address: tuple[str, int], source: str | None) -> TcpConnection:
+        if address[1] in {engine.port for engine in platform.engines.values()}:
+            await asyncio.sleep(0.8)
+        return await connect(address, source)
+
+    platform = Platform(tmp_path, PAIR)
+    monkeypatch.setattr("runspool.engines.connection_pool.connect", late_connect)
+    async with platform.inside() as running:
+        running.executor.release_prefill_state(_with_prefill_at(running.executor, "r"))
+        await platform.until(lambda: bool(platform.release_calls("q1")))
+
+
+def _with_prefill_at(node: NodeExecutor, engine: str) -> PendingNodeRequest:
+    endpoint = next(endpoint for endpoint in node.endpoints.values() if endpoint.name == engine)
+    return PendingNodeRequest(
+        0, "q1", 0, 0, cast(Any, None), client_request=cast(Any, None), prefill_endpoint=endpoint
+    )
