A node that stops before its first list answers what its listener takes

Seen: node_accepting_ended 0.2 ms after node_listening, and connections in the backlog reset unanswered. GracefulShutdown.run ended accepting at once where the node had not served yet, before the accept loop had run, and found nothing in progress. The test failed before in both cases (reset; connection refused after 0.3 s).

--- a/runspool/node/graceful_shutdown.py
+++ b/runspool/node/graceful_shutdown.py
@@ -48,11 +48,13 @@
     async def run(self, accepts_requests: bool = True) -> None:
         """Returns once nothing is in progress, or after MAX_SHUTDOWN_DURATION without new requests.
 
-        With `accepts_requests` new ones are accepted for a while. The listener must stay open until this
-        returns: the kernel accepts connections for it, and their clients count them as accepted. Cancelled,
+        With `accepts_requests` new ones are accepted for a while, else they are refused for as long as
+        clients still open connections. The listener must stay open until this returns: the kernel accepts
+        connections for it, and their clients count them as accepted. Cancelled,
         it leaves the requests in progress to the caller.
         """
-        accept_until = self._accept_until() if accepts_requests else self.requested_at
+        accept_until = self._accept_until() if accepts_requests else self.requested_at + MIN_ACCEPT_DURATION
+        self.executor.closing = not accepts_requests
         self._log_stopping(accept_until)
         self.executor.begin_shutdown(self.deadline)
         await anyio.sleep(max(0, accept_until - now()) / UNITS_PER_SECOND)
--- a/tests/test_node_shutdown_races.py
+++ b/tests/test_node_shutdown_races.py
@@ -183,3 +183,24 @@
         response = await new.read_response()
         assert (response.status, response.headers["connection"]) == (503, "close")
         await asyncio.wait_for(platform.run, WAIT)
+
+
+@pytest.mark.parametrize("sends_after", [0.0, 0.3])
+async def test_a_node_that_stops_before_its_first_list_answers_what_its_listener_takes(
+    sends_after: float, tmp_path: Path
+) -> None:
+    # The node ended before its accept loop had run, and its backlog was reset unanswered.
+    platform = Platform(tmp_path, PAIR)
+    platform.pace.begin_outage()
+    async with platform.open(ready=False):
+        client = await platform.client()
+        client.send(post("q1"))
+        await platform.until(lambda: bool(platform.lists))
+        platform.signal(signal.SIGTERM)
+        await asyncio.sleep(sends_after)
+        late_client = await platform.client()
+        late_client.send(post("q2"))
+        assert (await client.read_response()).status == 503
+        assert (await late_client.read_response()).status == 503
+        assert await asyncio.wait_for(platform.process.wait(), WAIT) == 0
+        assert not platform.attempts("q1") + platform.attempts("q2")
