--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -20,8 +20,9 @@
 from tests.fault_proxy import HOST, FaultProxy
 from tests.node_platform.ports import free_port
 from tests.node_platform.settings import SETTINGS
+from tests.soak.agents import SoakAgent
 from tests.soak.conditions import Conditions
-from tests.soak.environment import Environment, SoakAgent
+from tests.soak.environment import Environment
 
 READY_WITHIN = 10.0  # seconds that a start may take
 FAULT_LINE = re.compile(
@@ -73,6 +74,11 @@
         await self.agent.start()
         self.port = free_port()
 
+    def reload(self) -> None:
+        """Have it read its configuration again."""
+        self.write_config()
+        self.signal(signal.SIGHUP)
+
     def write_config(self) -> Path:
         """Write the node's configuration as it is now."""
         file = self.folder / f"{self.name}.json"
--- a/tests/soak/sabotage.py
+++ b/tests/soak/sabotage.py
@@ -16,6 +16,7 @@
 
 from runspool.engines import http_exchange as exchange
 from runspool.node import __main__ as program
+from runspool.node import discovery_call_planner, discovery_client
 from runspool.node import engine_client as calls
 from runspool.node.client_connections import ClientConnections
 from runspool.node.executor import NodeExecutor
@@ -143,6 +144,21 @@
     )
 
 
+def give_up_late_answers() -> None:
+    """Give each call for the endpoint list up after a fixed time."""
+    discovery_client.MAX_CALL_DURATION = 4_000
+
+
+def ask_rarely() -> None:
+    """Ask an agent that does not answer only every other second."""
+    discovery_call_planner.MIN_SEARCH_INTERVAL = discovery_call_planner.MAX_SEARCH_INTERVAL
+
+
+def ask_without_pause() -> None:
+    """Ask an agent that does not answer a hundred times a second."""
+    discovery_call_planner.MIN_SEARCH_INTERVAL = 100
+
+
 SABOTAGE: dict[str, Callable[[], None]] = {
     "lost": drop_rejections,
     "stopped": leave_streams_open,
@@ -150,6 +166,9 @@
     "lost.cuts": cut_all_streams,
     "twice": repeat_attempts,
     "drain": ignore_drains,
+    "drain.gives_up": give_up_late_answers,
+    "drain.asks_rarely": ask_rarely,
+    "calls": ask_without_pause,
     "held": release_nothing,
     "gone": ignore_disconnects,
     "deadline": extend_deadlines,
