--- a/runspool/node/discovery_call_log.py
+++ b/runspool/node/discovery_call_log.py
@@ -30,11 +30,13 @@
 
     Attributes:
         counts: calls by how they ended.
+        given_up: calls given up since the last one that was answered.
     """
 
     def __init__(self, tracker: EndpointTracker, counts: Counter[str]) -> None:
         self.tracker = tracker
         self.counts = counts
+        self.given_up = 0
         self.log = structlog.get_logger()
         self.bounded_log = BoundedLog()
 
@@ -43,8 +45,7 @@
     ) -> None:
         """Logs the end of a call at `now`, tenths of a millisecond; `reason` says why it failed."""
         self.counts[f"discovery_call_{end.value}"] += 1
-        is_usual = end is CallEnd.ANSWERED and now - call.made_at - call.wait < SLOW_ANSWER
-        write = self.log.debug if is_usual else self.bounded_log.info
+        write = self.bounded_log.info if self._is_worth_a_line(call, end, now) else self.log.debug
         write(
             "discovery_call_ended",
             call=call.number,
@@ -58,6 +59,20 @@
             **self._situation(now, planner),
         )
 
+    def _is_worth_a_line(self, call: DiscoveryCall, end: CallEnd, now: int) -> bool:
+        """Returns whether an operator wants to know; of the calls given up, the 1st, 2nd, 4th and so on."""
+        match end:
+            case CallEnd.ANSWERED:
+                self.given_up = 0
+                return now - call.made_at - call.wait >= SLOW_ANSWER
+            case CallEnd.GIVEN_UP:
+                self.given_up += 1
+                return self.given_up.bit_count() == 1
+            case CallEnd.FAILED:
+                return True
+            case CallEnd.SUPERSEDED:
+                return False
+
     def state_changed(
         self, former: DiscoveryState, state: DiscoveryState, now: int, planner: DiscoveryCallPlanner
     ) -> None:
