--- a/tests/soak/agents.py
+++ b/tests/soak/agents.py
@@ -30,29 +30,34 @@
         self.server = await asyncio.start_server(self._serve, HOST, self.port)
         self.port = int(self.server.sockets[0].getsockname()[1])
 
-    def listed(self) -> bytes:
-        """Return the list as it is now."""
+    def listed(self, after: int | None = None) -> bytes:
+        """Return the list as it is now, or what has changed after a revision."""
+        status = self.environment.status
+        if after is None:
+            names = [name for name in status if status[name] != LEFT]
+        else:
+            names = [name for name in status if self.environment.changed_in[name] > after]
         return json.dumps(
             {
                 "index": self.environment.revision - self.first_revision,
-                "snapshot": True,
-                "endpoints": [
-                    {
-                        "name": engine.name,
-                        "address": f"{HOST}:{self.port_of(engine.name)}",
-                        "zone": "a",
-                        "type": engine.kind,
-                        "group": 1,
-                        "status": self.environment.status[engine.name],
-                        "weight": 1.0,
-                        "since_ms": engine.started_unix_ms,
-                    }
-                    for engine in self.environment.engines.values()
-                    if self.environment.status[engine.name] != LEFT
-                ],
+                "snapshot": after is None,
+                "endpoints": [self._entry(name) for name in names],
             }
         ).encode()
 
+    def _entry(self, name: str) -> dict[str, object]:
+        engine = self.environment.engines[name]
+        return {
+            "name": name,
+            "address": f"{HOST}:{self.port_of(name)}",
+            "zone": "a",
+            "type": engine.kind,
+            "group": 1,
+            "status": self.environment.status[name],
+            "weight": 1.0,
+            "since_ms": engine.started_unix_ms,
+        }
+
     def begin_outage(self, drops: bool) -> None:
         """Answer nothing; calls that it meets are answered at its end, or never."""
         self.pace.drops = drops
@@ -109,11 +114,18 @@
         if not (reader.at_eof() or writer.transport.is_closing()):
             self.environment.record("told", node=self.node, revision=revisions[0], took=round(took, 3))
 
+    async def _wait_for_newer(self, revision: int, seconds: float) -> None:
+        if seconds:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(seconds):
+                    await self.environment.newer_than(revision)
+
     async def _respond(self, request: ReceivedRequest, revisions: list[int]) -> bytes:
+        after: int | None = None
         if "after=" in request.target:
             after = int(request.target.partition("after=")[2].partition("&")[0]) + self.first_revision
-            with suppress(TimeoutError):
-                async with asyncio.timeout(int(request.target.partition("wait_ms=")[2]) / 1000):
-                    await self.environment.newer_than(after)
+            await self._wait_for_newer(after, int(request.target.partition("wait_ms=")[2]) / 1000)
+        if after is not None and after > self.environment.revision:
+            after = None  # versions have begun anew since
         revisions.append(self.environment.revision)
-        return http_response(200, self.listed())
+        return http_response(200, self.listed(after))
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -206,6 +206,7 @@
                 name = f"{kind}-{index}"
                 self.engines[name] = SoakEngine(self, name, kind)
         self.status = dict.fromkeys(self.engines, "active")
+        self.changed_in = dict.fromkeys(self.engines, 1)  # the revision of each engine's last change
         self.revision = 1  # of the list
         self.agent_turn = asyncio.Lock()  # all agents are one process
         self.list_changed = asyncio.Condition()
@@ -224,6 +225,7 @@
         """Change an engine's status in a new revision of the list."""
         self.status[engine] = status
         self.revision += 1
+        self.changed_in[engine] = self.revision
         self.record("status", engine=engine, status=status, revision=self.revision)
         async with self.list_changed:
             self.list_changed.notify_all()
