A call that is out gives way where the agent refuses further connections

An agent that accepts one to three connections and has dropped the calls on them was never heard again: those calls stay out, and each further one is refused.

--- a/runspool/node/discovery_call_planner.py
+++ b/runspool/node/discovery_call_planner.py
@@ -28,6 +28,7 @@
 ARRIVAL_PAUSE = 4_000  # since the last piece of an answer, after which it is not arriving any more
 MAX_ARRIVAL = 30_000  # since the first piece: one that goes on for longer does not delay other calls
 MAX_CALLS_OUT = 6
+MIN_ONLY_CALL_AGE = 20_000  # from which a call gives way to another where the agent refuses a second one
 
 
 class DiscoveryState(Enum):
@@ -92,6 +93,7 @@
         self._last_made_at: int | None = None
         self._last_watch_at: int | None = None
         self._search_interval = MIN_SEARCH_INTERVAL
+        self._only_call_age = MIN_ONLY_CALL_AGE
 
     def change_address(self, address: Address) -> list[DiscoveryCall]:
         """Calls another agent from now on.
@@ -159,6 +161,7 @@
         for other in superseded:
             self._remove(other)
         self._measure(call, now)
+        self._only_call_age = max(MIN_ONLY_CALL_AGE, 2 * self.answer_time)
         is_newer = self._applied_at is None or call.made_at >= self._applied_at
         is_usable = is_newer or version > self._version
         if is_usable:
@@ -168,10 +171,31 @@
         self._needs_watch = self._watch is None
         return Answer(is_usable, superseded)
 
-    def failed(self, call: DiscoveryCall) -> None:
-        """Counts a call as failed: its connection was refused or lost, or its answer is unusable."""
-        if call in self.calls_out:
-            self._remove(call)
+    def failed(self, call: DiscoveryCall, now: int) -> DiscoveryCall | None:
+        """Counts a call as failed: its connection was refused or lost, or its answer is unusable.
+
+        Returns:
+            A call that is out and gives way to the next one, if one has to: an agent may refuse connections
+            past a number, and have dropped the calls on those that it has.
+        """
+        if call not in self.calls_out:
+            return None
+        self._remove(call)
+        is_refused = call.number == self.calls_made and call.first_byte_at is None
+        if not is_refused or not self.calls_out or self.state(now) is DiscoveryState.WATCHING:
+            return None
+        given_up = self._least_useful(now) or self._worn_out_only_call(now)
+        if given_up is not None:
+            self._remove(given_up)
+        return given_up
+
+    def _worn_out_only_call(self, now: int) -> DiscoveryCall | None:
+        """Returns the oldest call if it has been out for long; each time, the next one is given longer."""
+        oldest = self.calls_out[0]
+        if now - oldest.made_at - oldest.wait < self._only_call_age:
+            return None
+        self._only_call_age *= 2
+        return oldest
 
     def _remove(self, call: DiscoveryCall) -> None:
         self.calls_out.remove(call)
@@ -199,7 +223,7 @@
     def _is_any_arriving(self, now: int) -> bool:
         return any(_is_arriving(call, now) for call in self.calls_out)
 
-    def _least_useful(self, now: int) -> DiscoveryCall:
+    def _least_useful(self, now: int) -> DiscoveryCall | None:
         """Returns the call to give up, so that the ages of the others grow by about the same factor.
 
         Neither the oldest, which a slow agent answers first, nor the watch. One that is arriving only where
@@ -217,7 +241,7 @@
             for position in range(1, len(self.calls_out))
             if self.calls_out[position] is not self._watch
         ]
-        return self.calls_out[min(inner, key=usefulness)]
+        return self.calls_out[min(inner, key=usefulness)] if inner else None
 
 
 def _is_arriving(call: DiscoveryCall, now: int) -> bool:
--- a/runspool/node/discovery_client.py
+++ b/runspool/node/discovery_client.py
@@ -134,9 +134,11 @@
             try:
                 self._take_in(call, await self._exchange(call))
             except (ExchangeAbortedError, InvalidEndpointListError) as fault:
-                self.planner.failed(call)
+                given_up = self.planner.failed(call, self.now())
                 self.listener.connection_lost(fault)
                 self.call_log.ended(call, CallEnd.FAILED, self.now(), self.planner, str(fault))
+                if given_up is not None:
+                    self._cancel([given_up], CallEnd.GIVEN_UP)
         self._scopes.pop(call.number, None)
         self._plan_changed()
 
--- a/tests/test_discovery_call_planner.py
+++ b/tests/test_discovery_call_planner.py
@@ -129,7 +129,7 @@
         call = data.draw(st.sampled_from(self.planner.calls_out))
         version, settled_at = self.contents[call.number]
         if call.after_version is not None and version < call.after_version:
-            self.planner.failed(call)  # changes that begin before what was asked for
+            self.planner.failed(call, self.now)  # changes that begin before what was asked for
             return
         if self.planner.answered(call, version, self.now).is_usable and call.address == self.planner.address:
             assert settled_at >= self.applied_at, "an older list has undone a newer one"
@@ -138,7 +138,7 @@
     @precondition(lambda self: self.planner.calls_out)
     @rule(data=st.data())
     def fail(self, data: st.DataObject) -> None:
-        self.planner.failed(data.draw(st.sampled_from(self.planner.calls_out)))
+        self.planner.failed(data.draw(st.sampled_from(self.planner.calls_out)), self.now)
 
     @rule()
     def change_address(self) -> None:
--- a/tests/test_slow_discovery_agent.py
+++ b/tests/test_slow_discovery_agent.py
@@ -86,6 +86,21 @@
         assert platform.pace.connections <= MOST_CALLS_OUT + 1  # one more may be closing
 
 
+@pytest.mark.parametrize("most_connections", [1, 2, 3])
+async def test_return_of_an_agent_that_limits_connections_is_seen(
+    most_connections: int, tmp_path: Path
+) -> None:
+    # Calls that the agent had dropped stayed out and took all the connections that it accepts.
+    async with Platform(tmp_path, ENGINES).open() as platform:
+        platform.pace.drops, platform.pace.most_connections = True, most_connections
+        platform.pace.begin_outage()
+        await asyncio.sleep(3.0)
+        platform.tell(v="leaving")
+        platform.pace.end_outage()
+        async with asyncio.timeout(TOLD_WITHIN):
+            await platform.until(lambda: b'"v":"draining"' in platform.log)
+
+
 async def test_calls_to_an_agent_that_answers_every_watch_at_once_are_bounded(tmp_path: Path) -> None:
     # The node asked as fast as it was answered, hundreds of times a second.
     async with Platform(tmp_path, ENGINES).open() as platform:
