--- a/tests/soak/agent_judge.py
+++ b/tests/soak/agent_judge.py
@@ -29,7 +29,8 @@
     """What is known of a node's agent, from outside.
 
     `breaks` are times at which nothing could be answered, as spans; `drops` are the beginnings of those that
-    left a watch silent. `answers` are when each answer was written, and how long its pace made it take.
+    left a watch silent. `answers` are when each answer was written, and how long its pace made it take;
+    `paces` are when the agent was set to another pace, and how long an answer takes at it.
     """
 
     breaks: list[tuple[float, float]] = field(default_factory=list)
@@ -37,6 +38,7 @@
     reloads: list[float] = field(default_factory=list)
     ready: list[float] = field(default_factory=list)
     answers: list[tuple[float, float]] = field(default_factory=list)
+    paces: list[tuple[float, float]] = field(default_factory=list)
     calls: list[float] = field(default_factory=list)
     most_connections: int = 0
     down_since: float | None = None
@@ -60,13 +62,18 @@
                 self.ready.append(at)
             case "told":
                 self.answers.append((at, event["took"]))
+            case "agent_pace":
+                self.paces.append((at, event["seconds"]))
             case "agent_call":
                 self.calls.append(at)
                 self.most_connections = max(self.most_connections, event["connections"])
 
     def pace(self, since: float, until: float) -> float:
-        """The slowest answer around a span."""
+        """The slowest answer around a span, as answers were given and as the agent was set."""
         spans = [took for at, took in self.answers if since - PACE_MEMORY < at < until + PACE_MEMORY]
+        before = [seconds for at, seconds in self.paces if at <= since - PACE_MEMORY]
+        spans += before[-1:]
+        spans += [seconds for at, seconds in self.paces if since - PACE_MEMORY < at <= until]
         return max(spans, default=0.0)
 
     def could_have_told(self, changed: float, sent: float) -> float:
--- a/tests/soak/agents.py
+++ b/tests/soak/agents.py
@@ -13,6 +13,8 @@
 from tests.node_platform.http_messages import ReceivedRequest, http_response, read_request
 from tests.soak.environment import LEFT, Environment
 
+CALLS_OUT = 6  # of each node, that may be ahead of a call at agents that are one busy process
+
 
 class SoakAgent:
     """The endpoint list with one node's own addresses, served at a pace."""
@@ -21,6 +23,7 @@
         self.environment, self.node, self.port_of = environment, node, port_of
         self.pace = AgentPace(turn=environment.agent_turn)
         self.first_revision = 0  # of the environment's list; versions count from there
+        self._list_before_outage = b""
         self.port = 0
         self.server: asyncio.Server
         self.writers: set[asyncio.StreamWriter] = set()
@@ -58,8 +61,19 @@
             "since_ms": engine.started_unix_ms,
         }
 
+    def known(self) -> bytes:
+        """Return the list as the agent has it: in an outage it learns nothing."""
+        return self._list_before_outage or self.listed()
+
+    def record_pace(self, agents: int = 1) -> None:
+        """Record how long an answer takes now, at worst; `agents` are one process."""
+        pace = self.pace
+        seconds = pace.delay + (pace.pieces - 1) * pace.piece_interval + CALLS_OUT * agents * pace.cost
+        self.environment.record("agent_pace", node=self.node, seconds=seconds)
+
     def begin_outage(self, drops: bool) -> None:
         """Answer nothing; calls that it meets are answered at its end, or never."""
+        self._list_before_outage = self.known()
         self.pace.drops = drops
         self.pace.begin_outage()
         self.environment.record("agent_down", node=self.node, drops=drops)
@@ -68,6 +82,7 @@
         """Answer again."""
         self.pace.end_outage()
         if not self.pace.outages:
+            self._list_before_outage = b""
             self.environment.record("agent_up", node=self.node)
 
     def reset(self) -> None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,7 @@
 from random import Random
 
 from tests.fault_proxy import Direction, FaultProxy
+from tests.node_platform.agent_pace import AgentPace
 from tests.soak.agents import SoakAgent
 from tests.soak.environment import LEFT, Environment
 from tests.soak.nodes import SoakNode
@@ -192,29 +193,28 @@
 
     async def agent_late(self, fault: Fault) -> None:
         """Have answers come late."""
-        for agent in self._agents(fault):
-            agent.pace.delay = fault.amount * MAX_ANSWER_DELAY
-        await asyncio.sleep(2 * fault.lasts)
-        for agent in self._agents(fault):
-            agent.pace.delay = 0.0
+        await self._pace_agents(self._agents(fault), fault, delay=fault.amount * MAX_ANSWER_DELAY)
 
     async def agents_busy(self, fault: Fault) -> None:
         """Have all agents be one process that works at one call at a time."""
         agents = [node.agent for node in self.nodes]
-        for agent in agents:
-            agent.pace.cost = fault.amount * MAX_CALLS_COST / len(agents)
-        await asyncio.sleep(2 * fault.lasts)
-        for agent in agents:
-            agent.pace.cost = 0.0
+        await self._pace_agents(agents, fault, cost=fault.amount * MAX_CALLS_COST / len(agents))
 
     async def agent_pieces(self, fault: Fault) -> None:
         """Have answers come in pieces."""
-        for agent in self._agents(fault):
-            agent.pace.pieces = ANSWER_PIECES
-            agent.pace.piece_interval = fault.amount * MAX_ANSWER_DELAY / ANSWER_PIECES
-        await asyncio.sleep(2 * fault.lasts)
-        for agent in self._agents(fault):
-            agent.pace.pieces, agent.pace.piece_interval = 1, 0.0
+        interval = fault.amount * MAX_ANSWER_DELAY / ANSWER_PIECES
+        await self._pace_agents(self._agents(fault), fault, pieces=ANSWER_PIECES, piece_interval=interval)
+
+    async def _pace_agents(self, agents: list[SoakAgent], fault: Fault, **paced: float) -> None:
+        """Change these attributes of the agents' pace for a while."""
+        usual = {name: getattr(AgentPace(), name) for name in paced}
+        for values in (paced, usual):
+            for agent in agents:
+                for name, value in values.items():
+                    setattr(agent.pace, name, value)
+                agent.record_pace(len(self.nodes))
+            if values is paced:
+                await asyncio.sleep(2 * fault.lasts)
 
     async def agent_crowded(self, fault: Fault) -> None:
         """Have agents reset connections past two or three."""
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -90,7 +90,7 @@
                     "discovery": f"{HOST}:{self.agent.port}",
                     "seed": f"{crc32(f'{self.environment.seed}.{self.name}'.encode()):x}",
                     "limits": {"sockets": 512 + 3 * self.environment.conditions.idle_clients},
-                    "known": json.loads(self.agent.listed()),
+                    "known": json.loads(self.agent.known()),
                     "settings": soak_settings(self.environment.conditions),
                 }
             )
