A front hears a list service that is slower than the quiet time of its watch

Up to six that are being opened now stay out, one begun each quiet_ms, their ages growing as those of a node's calls; the first that brings data is used. An open watch still counts as lost after quiet_ms of silence. The test (0.25 and 1.5 s at a quiet time of 0.1 s) failed before: nothing heard in 15 s.

--- a/runspool/discovery/watch_client.py
+++ b/runspool/discovery/watch_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from urllib.parse import quote
 
 import anyio
@@ -10,6 +11,7 @@
 from anyio.abc import SocketStream
 
 from runspool.config import EndpointListConfig
+from runspool.discovery.concurrent_calls import age_ratio
 from runspool.discovery.endpoint_tracker import NO_VERSION, EndpointTracker
 from runspool.discovery.watch_listener import WatchListener
 from runspool.errors import RunspoolError
@@ -19,6 +21,7 @@
 WATCH_PATH = "/v1/engines/watch"
 MS_PER_SECOND = 1_000
 HTTP_OK = 200
+MAX_OPENING_ATTEMPTS = 6  # out at once
 
 
 class WatchInterruptedError(RunspoolError):
@@ -33,6 +36,65 @@
         self.reason = reason
 
 
+WATCH_ERRORS = (
+    WatchInterruptedError,
+    MalformedListLineError,
+    OSError,
+    TimeoutError,
+    anyio.BrokenResourceError,
+    anyio.EndOfStream,
+    h11.RemoteProtocolError,
+)
+
+
+@dataclass(slots=True)
+class _OpenWatch:
+    """A watch that has brought its first data."""
+
+    stream: SocketStream
+    connection: h11.Connection
+    first_data: bytes
+
+
+class _OpeningAttempts:
+    """The attempts to open a watch that are out, their ages growing.
+
+    Attributes:
+        winner: the first watch that has brought data.
+        fault: the last failure, None before any.
+        out: the attempts that are out and when they were begun, the oldest first.
+        settled: set once there is a winner, or no attempt is out any more.
+    """
+
+    def __init__(self) -> None:
+        self.winner: _OpenWatch | None = None
+        self.fault: Exception | None = None
+        self.out: list[tuple[anyio.CancelScope, int]] = []
+        self.settled = anyio.Event()
+
+    def begin(self, now: int) -> anyio.CancelScope:
+        """Returns the scope of a new attempt; where too many are out, one is cancelled."""
+        if len(self.out) >= MAX_OPENING_ATTEMPTS:
+            made_at = [*(begun_at for _, begun_at in self.out), now]
+            inner = range(1, len(self.out))
+            self.out.pop(min(inner, key=lambda position: age_ratio(made_at, position, now)))[0].cancel()
+        scope = anyio.CancelScope()
+        self.out.append((scope, now))
+        return scope
+
+    def opened(self, watch: _OpenWatch) -> None:
+        """Takes the first watch that has brought data; the caller cancels the other attempts."""
+        self.winner = self.winner or watch
+        self.settled.set()
+
+    def failed(self, scope: anyio.CancelScope, fault: Exception) -> None:
+        """Notes that an attempt has failed."""
+        self.fault = fault
+        self.out = [(other, begun_at) for other, begun_at in self.out if other is not scope]
+        if not self.out:
+            self.settled.set()
+
+
 class WatchClient:
     """Follows the list service.
 
@@ -63,38 +125,64 @@
         while True:
             try:
                 await self._watch_once()
-            except (
-                WatchInterruptedError,
-                MalformedListLineError,
-                OSError,
-                TimeoutError,
-                anyio.BrokenResourceError,
-                anyio.EndOfStream,
-                h11.RemoteProtocolError,
-            ) as fault:
+            except WATCH_ERRORS as fault:
                 self.listener.connection_lost(fault)
             self.listener.on_lost()
             await anyio.sleep(self.settings.retry_ms / MS_PER_SECOND)
 
     async def _watch_once(self) -> None:
-        """Opens one connection and reads from it until it fails; always ends by an exception."""
-        quiet_seconds = self.settings.quiet_ms / MS_PER_SECOND
-        with anyio.fail_after(quiet_seconds):
-            stream = await anyio.connect_tcp(
-                self.settings.host, self.settings.port, local_host=self.source_address
-            )
-        async with stream:
-            after_version = NO_VERSION if self.needs_whole_list else self.tracker.version
-            connection = await self._send_request(stream, after_version)
-            partial_line = b""
+        """Opens a watch and reads from it until it fails; always ends by an exception."""
+        opened = await self._open()
+        data, partial_line = opened.first_data, b""
+        async with opened.stream:
             while True:
-                with anyio.fail_after(quiet_seconds):
-                    data = await self._receive_data(stream, connection)
                 *lines, partial_line = (partial_line + data).split(b"\n")
                 if len(partial_line) > self.settings.line_bytes:
                     raise WatchInterruptedError(f"a line of over {self.settings.line_bytes} bytes")
                 for line in lines:
                     self._receive_line(line)
+                with anyio.fail_after(self.settings.quiet_ms / MS_PER_SECOND):
+                    data = await self._receive_data(opened.stream, opened.connection)
+
+    async def _open(self) -> _OpenWatch:
+        """Opens a watch: the first that brings data, of one begun each `quiet_ms` as long as none does.
+
+        None is given up for being slow, as a service that is slower than that would never be heard.
+
+        Raises:
+            Exception: one of WATCH_ERRORS, where an attempt has failed and no other is out.
+        """
+        attempts = _OpeningAttempts()
+
+        async def attempt(scope: anyio.CancelScope) -> None:
+            with scope:
+                try:
+                    attempts.opened(await self._connect())
+                except WATCH_ERRORS as fault:
+                    attempts.failed(scope, fault)
+
+        async with anyio.create_task_group() as tasks:
+            while attempts.winner is None and (attempts.out or attempts.fault is None):
+                tasks.start_soon(attempt, attempts.begin(self.now()))
+                with anyio.move_on_after(self.settings.quiet_ms / MS_PER_SECOND):
+                    await attempts.settled.wait()
+            tasks.cancel_scope.cancel()
+        if attempts.winner is not None:
+            return attempts.winner
+        raise attempts.fault or WatchInterruptedError("no watch could be opened")
+
+    async def _connect(self) -> _OpenWatch:
+        """Opens one connection, requests the watch and waits for its first data."""
+        stream = await anyio.connect_tcp(
+            self.settings.host, self.settings.port, local_host=self.source_address
+        )
+        try:
+            after_version = NO_VERSION if self.needs_whole_list else self.tracker.version
+            connection = await self._send_request(stream, after_version)
+            return _OpenWatch(stream, connection, await self._receive_data(stream, connection))
+        except BaseException:
+            await anyio.aclose_forcefully(stream)
+            raise
 
     async def _send_request(self, stream: SocketStream, after_version: int) -> h11.Connection:
         connection = h11.Connection(h11.CLIENT)
--- a/runspool/node/discovery_call_planner.py
+++ b/runspool/node/discovery_call_planner.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from runspool.discovery.concurrent_calls import age_ratio
 from runspool.engines.connection_pool import Address
 from runspool.node.discovery_call import DiscoveryCall
 
@@ -232,9 +233,7 @@
         made_at = [*(call.made_at for call in self.calls_out), now]
 
         def usefulness(position: int) -> tuple[bool, float]:
-            older_age = now - made_at[position - 1]
-            newer_age = now - made_at[position + 1]
-            return _is_arriving(self.calls_out[position], now), older_age / max(1, newer_age)
+            return _is_arriving(self.calls_out[position], now), age_ratio(made_at, position, now)
 
         inner = [
             position
--- /dev/null
+++ b/tests/test_watch_client.py
@@ -0,0 +1,61 @@
+"""A front's watch on a list service with a pace of its own."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from runspool.config.schema import EndpointListConfig
+from runspool.discovery.endpoint_tracker import EndpointTracker
+from runspool.discovery.watch_client import MAX_OPENING_ATTEMPTS, WatchClient
+from runspool.service.clock import now
+from runspool.wire.endpoint_list import EndpointEntry, EndpointListMessage, encode_message
+from tests.fault_proxy import HOST
+from tests.node_platform.http_messages import WAIT, read_request
+
+pytestmark = pytest.mark.anyio
+QUIET_MS = 100
+LIST = encode_message(
+    EndpointListMessage(
+        1, is_snapshot=True, engines=[EndpointEntry("e1", "127.0.0.1:9", "prefill", "a", 0, "on")]
+    )
+)
+
+
+@pytest.mark.parametrize("delay", [0.25, 1.5])
+async def test_a_list_service_slower_than_the_quiet_time_is_heard(delay: float) -> None:
+    # Each watch was given up after the quiet time, so that none ever brought the list.
+    open_watches = most_open = 0
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        nonlocal open_watches, most_open
+        open_watches += 1
+        most_open = max(most_open, open_watches)
+        try:
+            await read_request(reader)
+            end = asyncio.ensure_future(reader.read())
+            await asyncio.wait([end], timeout=delay)
+            if not end.done():
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                writer.write(b"%x\r\n%b\r\n" % (len(LIST), LIST))
+                await end
+        finally:
+            open_watches -= 1
+            writer.transport.abort()
+
+    heard = asyncio.Event()
+    server = await asyncio.start_server(serve, HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    config = EndpointListConfig(host=HOST, port=port, quiet_ms=QUIET_MS, retry_ms=20, line_bytes=65_536)
+    client = WatchClient(
+        config, "front-0", EndpointTracker(), now, lambda changed: heard.set(), lambda: None, None
+    )
+    following = asyncio.ensure_future(client.follow())
+    try:
+        await asyncio.wait_for(heard.wait(), WAIT)
+        assert most_open <= MAX_OPENING_ATTEMPTS + 1  # one may be closing
+    finally:
+        following.cancel()
+        await asyncio.gather(following, return_exceptions=True)
+        server.close()
