--- a/tests/soak/agents.py
+++ b/tests/soak/agents.py
@@ -23,7 +23,7 @@
         self.environment, self.node, self.port_of = environment, node, port_of
         self.pace = AgentPace(turn=environment.agent_turn)
         self.first_revision = 0  # of the environment's list; versions count from there
-        self._list_before_outage = b""
+        self._list_before_outage, self._revision_before_outage = b"", 0
         self.port = 0
         self.server: asyncio.Server
         self.writers: set[asyncio.StreamWriter] = set()
@@ -65,6 +65,11 @@
         """Return the list as the agent has it: in an outage it learns nothing."""
         return self._list_before_outage or self.listed()
 
+    @property
+    def known_revision(self) -> int:
+        """The revision of that list."""
+        return self._revision_before_outage or self.environment.revision
+
     def record_pace(self, agents: int = 1) -> None:
         """Record how long an answer takes now, at worst; `agents` are one process."""
         pace = self.pace
@@ -73,7 +78,7 @@
 
     def begin_outage(self, drops: bool) -> None:
         """Answer nothing; calls that it meets are answered at its end, or never."""
-        self._list_before_outage = self.known()
+        self._list_before_outage, self._revision_before_outage = self.known(), self.known_revision
         self.pace.drops = drops
         self.pace.begin_outage()
         self.environment.record("agent_down", node=self.node, drops=drops)
@@ -82,7 +87,7 @@
         """Answer again."""
         self.pace.end_outage()
         if not self.pace.outages:
-            self._list_before_outage = b""
+            self._list_before_outage, self._revision_before_outage = b"", 0
             self.environment.record("agent_up", node=self.node)
 
     def reset(self) -> None:
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -269,11 +269,11 @@
 
 
 def _judge_drains(events: list[Event], judged: RuleVerdict) -> None:
-    """A drain counts from the response of its agent on by which a node learned of it."""
+    """A drain counts from the list with which a node started, or the response by which it learned of it."""
     changes = [event for event in events if event["what"] == "status"]
     known_since: dict[tuple[str, str], float] = {}  # by node and engine, of a drain
     for event in events:
-        if event["what"] == "told":
+        if event["what"] in ("told", "started"):  # a process starts with the list of its configuration
             for engine in {change["engine"] for change in changes}:
                 last = [
                     change
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -109,7 +109,7 @@
             sys.executable, *command, stderr=asyncio.subprocess.PIPE, env=variables
         )
         self.logging = asyncio.ensure_future(self._read_log())
-        self.environment.record("started", node=self.name)
+        self.environment.record("started", node=self.name, revision=self.agent.known_revision)
         while not await self.healthy():
             if self.process.returncode is not None or asyncio.get_running_loop().time() - began > 30:
                 if not self.ended_by_test:
