--- a/runspool/service/attempt_runner.py
+++ b/runspool/service/attempt_runner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Generic
+from typing import Generic
 
 import anyio
 
@@ -17,16 +17,16 @@
 from runspool.service.cell_scheduler import CellScheduler
 from runspool.service.clock import now
 from runspool.service.pending_request import Endpoint, FinalResponse, RequestT, ResponseKind
-
-if TYPE_CHECKING:
-    from runspool.service.request_executor import RequestExecutor
+from runspool.service.release_check import ReleaseCheck
+from runspool.service.request_ledger import RequestLedger
 
 
 class AttemptRunner(Generic[RequestT]):
     """Runs attempts for an executor, whose subclasses know the protocol spoken with engines."""
 
-    def __init__(self, executor: RequestExecutor[RequestT]) -> None:
+    def __init__(self, executor: RequestLedger[RequestT], release_check: ReleaseCheck[RequestT]) -> None:
         self.executor = executor
+        self.release_check = release_check
 
     async def run(self, pending: RequestT, endpoint: Endpoint, first_token_limit: int) -> None:
         """Runs an attempt and reports its end to the scheduler.
@@ -107,7 +107,7 @@
             result.reached_engine,
             state_released,
         )
-        executor.release_check.schedule(pending)
+        self.release_check.schedule(pending)
         if pending.index in executor.requests:
             executor.notify_scheduler(
                 executor.scheduler_for(pending),
--- a/runspool/service/last_resort.py
+++ b/runspool/service/last_resort.py
@@ -2,22 +2,20 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Generic
+from typing import Generic
 
 from runspool.scheduling.request_lifecycle import DenialReason, InvariantViolation
 from runspool.service import final_responses
 from runspool.service.clock import now
 from runspool.service.pending_request import RequestT
+from runspool.service.request_ledger import RequestLedger
 from runspool.service.request_log import ShutdownDecision, log_shutdown_decision
 
-if TYPE_CHECKING:
-    from runspool.service.request_executor import RequestExecutor
-
 
 class LastResort(Generic[RequestT]):
     """Asks the lifecycle of each open request whether it may stay open, and ends it where it may not."""
 
-    def __init__(self, executor: RequestExecutor[RequestT]) -> None:
+    def __init__(self, executor: RequestLedger[RequestT]) -> None:
         self.executor = executor
 
     def end_open_requests(self, process_ends: bool = False, streams: bool = True) -> None:
--- a/runspool/service/release_check.py
+++ b/runspool/service/release_check.py
@@ -2,20 +2,18 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Generic
+from typing import Generic
 
 from runspool.service.clock import now
 from runspool.service.pending_request import RequestT
+from runspool.service.request_ledger import RequestLedger
 from runspool.service.timer_queue import ReleaseCheckTimer
 
-if TYPE_CHECKING:
-    from runspool.service.request_executor import RequestExecutor
-
 
 class ReleaseCheck(Generic[RequestT]):
     """Looks at requests' states, by a timer, when they must be released at the latest."""
 
-    def __init__(self, executor: RequestExecutor[RequestT]) -> None:
+    def __init__(self, executor: RequestLedger[RequestT]) -> None:
         self.executor = executor
 
     def schedule(self, pending: RequestT) -> None:
--- a/runspool/service/request_executor.py
+++ b/runspool/service/request_executor.py
@@ -1,25 +1,21 @@
 """Carries out a front's scheduler actions and owes each accepted request one final response.
 
 Nothing is decided here and no protocol is spoken here: subclasses add the protocol (`protocol_hooks`),
-`attempt_runner` runs single attempts, `deadline_guard` watches the deadlines, `release_check` the states that
-must be released, `last_resort` ends what a shutdown may not leave open, `task_spawner` keeps tasks apart and
-`endpoint_registry` knows the engines.
+`request_ledger` holds the open requests, `attempt_runner` runs single attempts, `deadline_guard` watches the
+deadlines, `release_check` the states that must be released, `last_resort` ends what a shutdown may not leave
+open, `task_spawner` keeps tasks apart and `endpoint_registry` knows the engines.
 """
 
 from __future__ import annotations
 
-from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 
 import anyio
 import anyio.lowlevel
 
-from runspool.discovery.endpoint_tracker import EndpointTracker
-from runspool.logs import BoundedLog
 from runspool.runtime.interning import Interner
 from runspool.scheduling.request_lifecycle import (
     AttemptPolicy,
-    InvariantMonitor,
     InvariantViolation,
     RequestLifecycle,
 )
@@ -27,29 +23,24 @@
 from runspool.service import final_responses
 from runspool.service.attempt_runner import AttemptRunner
 from runspool.service.cell_scheduler import CellScheduler
-from runspool.service.clock import now, unix_ms_at_zero
-from runspool.service.deadline_guard import DeadlineGuard
-from runspool.service.endpoint_registry import EndpointRegistry
+from runspool.service.clock import now
 from runspool.service.last_resort import LastResort
-from runspool.service.pending_request import FinalResponse, RequestT, ResponseKind
-from runspool.service.protocol_hooks import ProtocolHooks
+from runspool.service.pending_request import RequestT
 from runspool.service.release_check import ReleaseCheck
+from runspool.service.request_ledger import RequestLedger
 from runspool.service.request_log import ShutdownDecision, log_replacements
-from runspool.service.task_spawner import TaskSpawner
 from runspool.service.timer_queue import (
     DeadlineGuardTimer,
     ExecutorTimer,
     ReleaseCheckTimer,
     SchedulerTimer,
-    TimerQueue,
 )
-from runspool.service.wall_clock import WallClock
 from runspool.wire.endpoint_list import EndpointEntry
 
 TEXT_RETENTION = 6_000_000  # tenths of a millisecond: no engine still caches a text unseen for so long
 
 
-class RequestExecutor(TaskSpawner, ProtocolHooks[RequestT]):
+class RequestExecutor(RequestLedger[RequestT]):
     """Carries out scheduler actions on sockets. It runs in one event loop; no method blocks.
 
     All times are in tenths of a millisecond on the front's clock.
@@ -63,27 +54,14 @@
         text_capacity: int,
     ) -> None:
         """`engine_types` and `zones` map names to indices; `text_capacity` bounds the texts interned."""
-        super().__init__()
-        self.settings = settings
-        self.trace = BoundedLog()
-        self.invariants = InvariantMonitor(self._report_violation)
+        super().__init__(settings, engine_types, zones)
         self.text_interner = Interner(text_capacity, TEXT_RETENTION)
-        wall_clock = WallClock(lambda: unix_ms_at_zero())
-        self.registry = EndpointRegistry(settings, engine_types, zones, wall_clock)
-        self.endpoints = self.registry.endpoints
-        self.engine_records = self.registry.engine_records
-        self.endpoint_tracker = EndpointTracker()
-        self.timers: TimerQueue[ExecutorTimer] = TimerQueue(self._timer_fired)
-        self.deadline_guard = DeadlineGuard(self.timers, settings.response_slack)
         self.release_check = ReleaseCheck(self)
         self.last_resort = LastResort(self)
-        self.attempt_runner = AttemptRunner(self)
-        self.requests: dict[int, RequestT] = {}
+        self.attempt_runner = AttemptRunner(self, self.release_check)
         self.accepted_count = 0
         self.closing = False
-        self.shutdown_deadline = 0  # 0 while nobody has asked this process to stop
         self.idle = anyio.Event()
-        self.counts: Counter[str] = Counter()
 
     # What comes in.
 
@@ -198,72 +176,10 @@
             self.client_disconnected(pending)
             await anyio.lowlevel.checkpoint()
 
-    def finish(self, pending: RequestT, final: FinalResponse) -> bool:
-        """Gives and counts the final response; False where there already is one, which stays."""
-        if not pending.finish(final):
-            return False
-        if not pending.lifecycle.mark_answered():
-            self.invariants.record(InvariantViolation.ANSWERED_TWICE, request=pending.id, reason=final.code)
-        self.counts[final.kind.value] += 1
-        if final.kind is not ResponseKind.SUCCEEDED:
-            self.trace.info(
-                "request_ended",
-                request=pending.id,
-                how=final.kind.value,
-                reason=final.code,
-                attempts=pending.attempt_count,
-                begun=pending.stream_started,
-                left=pending.deadline - now(),
-            )
-        return True
-
-    def disconnect(self, pending: RequestT) -> None:
-        """Ends what is still done for a request that has its final response."""
-        pending.cancel_attempt()
-        self.notify_scheduler(
-            self.scheduler_for(pending), pending.index, CellScheduler.client_disconnected, pending.index
-        )
-
-    # Faults of schedulers, and what breaks the rules.
-
-    def notify_scheduler(
-        self,
-        scheduler: CellScheduler | None,
-        request: int,
-        event: Callable[..., None],
-        *details: object,
-    ) -> None:
-        """Calls `event` of a scheduler; nothing where it is closed.
-
-        A fault in it ends the request that it was about, as indeterminate, and no other.
-        """
-        if scheduler is None:
-            return
-        try:
-            event(scheduler, *details)
-        except Exception as fault:  # noqa: BLE001 - a fault at one request must not end the others
-            self.handle_scheduler_failure(scheduler, request, fault)
-
-    def handle_scheduler_failure(
-        self, scheduler: CellScheduler | None, request: int, fault: Exception
-    ) -> None:
-        """Ends the request at which a scheduler failed: its answer, its attempt and its prefill state."""
-        pending = self.requests.get(request)
-        self.log.exception("scheduler_failed", request=pending and pending.id, fault=repr(fault))
-        if pending is not None:
-            self.finish(pending, final_responses.scheduler_failed())
-            pending.cancel_attempt()
-            self.release_state(request)
-        if scheduler is not None:
-            scheduler.abandon(request)
-
-    def _report_violation(self, violation: InvariantViolation, details: dict[str, object]) -> None:
-        self.counts[f"violation_{violation.value}"] += 1
-        self.log.error("invariant_violated", rule=violation.value, **details)
-
     # Timers.
 
-    def _timer_fired(self, timer: ExecutorTimer) -> None:
+    def timer_fired(self, timer: ExecutorTimer) -> None:
+        """Does what a timer was set for."""
         match timer:
             case DeadlineGuardTimer(request):
                 self._deadline_guard_fired(request)
--- /dev/null
+++ b/runspool/service/request_ledger.py
@@ -0,0 +1,120 @@
+"""The requests that a front owes a final response, and what every part that serves them works with."""
+
+from __future__ import annotations
+
+from abc import abstractmethod
+from collections import Counter
+from collections.abc import Callable
+
+from runspool.discovery.endpoint_tracker import EndpointTracker
+from runspool.logs import BoundedLog
+from runspool.scheduling.request_lifecycle import InvariantMonitor, InvariantViolation
+from runspool.scheduling.settings import RoutingSettings
+from runspool.service import final_responses
+from runspool.service.cell_scheduler import CellScheduler
+from runspool.service.clock import now, unix_ms_at_zero
+from runspool.service.deadline_guard import DeadlineGuard
+from runspool.service.endpoint_registry import EndpointRegistry
+from runspool.service.pending_request import FinalResponse, RequestT, ResponseKind
+from runspool.service.protocol_hooks import ProtocolHooks
+from runspool.service.task_spawner import TaskSpawner
+from runspool.service.timer_queue import ExecutorTimer, TimerQueue
+from runspool.service.wall_clock import WallClock
+
+
+class RequestLedger(TaskSpawner, ProtocolHooks[RequestT]):
+    """Open requests, their timers and final responses, and the engines known; carries nothing out itself.
+
+    All times are in tenths of a millisecond on the front's clock.
+    """
+
+    def __init__(
+        self,
+        settings: RoutingSettings,
+        engine_types: dict[str, int],
+        zones: dict[str, int],
+    ) -> None:
+        """`engine_types` and `zones` map configured names to their indices."""
+        super().__init__()
+        self.settings = settings
+        self.trace = BoundedLog()
+        self.invariants = InvariantMonitor(self._report_violation)
+        wall_clock = WallClock(lambda: unix_ms_at_zero())
+        self.registry = EndpointRegistry(settings, engine_types, zones, wall_clock)
+        self.endpoints = self.registry.endpoints
+        self.engine_records = self.registry.engine_records
+        self.endpoint_tracker = EndpointTracker()
+        self.timers: TimerQueue[ExecutorTimer] = TimerQueue(self.timer_fired)
+        self.deadline_guard = DeadlineGuard(self.timers, settings.response_slack)
+        self.requests: dict[int, RequestT] = {}
+        self.shutdown_deadline = 0  # 0 while nobody has asked this process to stop
+        self.counts: Counter[str] = Counter()
+
+    @abstractmethod
+    def timer_fired(self, timer: ExecutorTimer) -> None:
+        """Does what a timer was set for."""
+
+    # Responses.
+
+    def finish(self, pending: RequestT, final: FinalResponse) -> bool:
+        """Gives and counts the final response; False where there already is one, which stays."""
+        if not pending.finish(final):
+            return False
+        if not pending.lifecycle.mark_answered():
+            self.invariants.record(InvariantViolation.ANSWERED_TWICE, request=pending.id, reason=final.code)
+        self.counts[final.kind.value] += 1
+        if final.kind is not ResponseKind.SUCCEEDED:
+            self.trace.info(
+                "request_ended",
+                request=pending.id,
+                how=final.kind.value,
+                reason=final.code,
+                attempts=pending.attempt_count,
+                begun=pending.stream_started,
+                left=pending.deadline - now(),
+            )
+        return True
+
+    def disconnect(self, pending: RequestT) -> None:
+        """Ends what is still done for a request that has its final response."""
+        pending.cancel_attempt()
+        self.notify_scheduler(
+            self.scheduler_for(pending), pending.index, CellScheduler.client_disconnected, pending.index
+        )
+
+    # Faults of schedulers, and what breaks the rules.
+
+    def notify_scheduler(
+        self,
+        scheduler: CellScheduler | None,
+        request: int,
+        event: Callable[..., None],
+        *details: object,
+    ) -> None:
+        """Calls `event` of a scheduler; nothing where it is closed.
+
+        A fault in it ends the request that it was about, as indeterminate, and no other.
+        """
+        if scheduler is None:
+            return
+        try:
+            event(scheduler, *details)
+        except Exception as fault:  # noqa: BLE001 - a fault at one request must not end the others
+            self.handle_scheduler_failure(scheduler, request, fault)
+
+    def handle_scheduler_failure(
+        self, scheduler: CellScheduler | None, request: int, fault: Exception
+    ) -> None:
+        """Ends the request at which a scheduler failed: its answer, its attempt and its prefill state."""
+        pending = self.requests.get(request)
+        self.log.exception("scheduler_failed", request=pending and pending.id, fault=repr(fault))
+        if pending is not None:
+            self.finish(pending, final_responses.scheduler_failed())
+            pending.cancel_attempt()
+            self.release_prefill_state(pending)
+        if scheduler is not None:
+            scheduler.abandon(request)
+
+    def _report_violation(self, violation: InvariantViolation, details: dict[str, object]) -> None:
+        self.counts[f"violation_{violation.value}"] += 1
+        self.log.error("invariant_violated", rule=violation.value, **details)
--- a/tests/test_failure_classification.py
+++ b/tests/test_failure_classification.py
@@ -242,7 +242,7 @@
         while not connection.has_unsolicited_data():  # closed by its engine after the pool had checked it
             await anyio.sleep(0.001)
 
-        async def acquire_closed(_: Address) -> object:
+        async def acquire_closed(*_: object) -> object:
             return connection
 
         client.pool.acquire = acquire_closed  # type: ignore[method-assign, assignment]
--- a/tests/test_simulated_histories.py
+++ b/tests/test_simulated_histories.py
@@ -121,7 +121,7 @@
 
 def give_no_final_response_on_failure(monkeypatch: pytest.MonkeyPatch) -> None:
     """Break the rule that no request is lost."""
-    timer_fired, finish = Front._timer_fired, Front.finish
+    timer_fired, finish = Front.timer_fired, Front.finish
     not_given = (ResponseKind.REJECTED, ResponseKind.INDETERMINATE)
     monkeypatch.setattr(
         Front,
@@ -130,7 +130,7 @@
     )
     monkeypatch.setattr(
         Front,
-        "_timer_fired",
+        "timer_fired",
         lambda front, timer: None if isinstance(timer, DeadlineGuardTimer) else timer_fired(front, timer),
     )
 
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -385,7 +385,7 @@
     guard = DeadlineGuardTimer(pending.index)
     ends: dict[str, Callable[[], object]] = {
         "disconnect": lambda: front.client_disconnected(pending),
-        "time limit": lambda: front._timer_fired(guard),
+        "time limit": lambda: front.timer_fired(guard),
         "success": lambda: front.finish(pending, FinalResponse(ResponseKind.SUCCEEDED)),
     }
     first, second = order.split(" and ")
