--- a/tests/node_platform/agent.py
+++ b/tests/node_platform/agent.py
@@ -90,7 +90,7 @@
                     self.lists.append(request.target)
                     self.changed()
                     await self.list_gate.wait()
-                    if await self.pace.answer(writer, partial(self._next_response, request)) is None:
+                    if await self.pace.answer(reader, writer, partial(self._next_response, request)) is None:
                         await reader.read()
                         return
 
--- a/tests/node_platform/agent_pace.py
+++ b/tests/node_platform/agent_pace.py
@@ -21,6 +21,7 @@
         piece_interval: seconds between two pieces.
         most_connections: connections past this number are reset; 0 sets no limit.
         drops: calls that meet an outage are never answered, rather than at its end.
+        skips_abandoned: at the end of an outage no work is done for calls whose connection has gone.
         turn: held by the call that is being worked at; agents that are one process share it.
     """
 
@@ -30,6 +31,7 @@
     piece_interval: float = 0.0
     most_connections: int = 0
     drops: bool = False
+    skips_abandoned: bool = False
     turn: asyncio.Lock = field(default_factory=asyncio.Lock)
     reachable: asyncio.Event = field(default_factory=asyncio.Event)
     outages_begun: int = 0
@@ -65,10 +67,14 @@
         finally:
             self.readers.discard(reader)
 
-    async def answer(self, writer: asyncio.StreamWriter, make_body: MakeBody) -> float | None:
+    async def answer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, make_body: MakeBody
+    ) -> float | None:
         """Answer one call; returns how many seconds of that were its pace, None where it gets no answer."""
         outages = self.outages_begun - self.outages
         await self.reachable.wait()
+        if self.skips_abandoned and reader.at_eof():
+            return None
         took = await self._take_turn()
         body = await make_body()
         await self.reachable.wait()
--- a/tests/soak/agents.py
+++ b/tests/soak/agents.py
@@ -21,7 +21,7 @@
 
     def __init__(self, environment: Environment, node: str, port_of: Callable[[str], int]) -> None:
         self.environment, self.node, self.port_of = environment, node, port_of
-        self.pace = AgentPace(turn=environment.agent_turn)
+        self.pace = AgentPace(turn=environment.agent_turn, skips_abandoned=True)
         self.first_revision = 0  # of the environment's list; versions count from there
         self._list_before_outage, self._revision_before_outage = b"", 0
         self.port = 0
@@ -127,7 +127,7 @@
     ) -> None:
         self.environment.record("agent_call", node=self.node, connections=self.pace.connections)
         revisions: list[int] = []
-        took = await self.pace.answer(writer, partial(self._respond, request, revisions))
+        took = await self.pace.answer(reader, writer, partial(self._respond, request, revisions))
         if took is None:
             await reader.read()
             raise ConnectionResetError
--- a/tests/soak/return_at_size.py
+++ b/tests/soak/return_at_size.py
@@ -52,6 +52,7 @@
     await asyncio.sleep(QUIET_START)
     down_at = asyncio.get_running_loop().time()
     for node in nodes:
+        node.agent.pace.skips_abandoned = False
         node.agent.begin_outage(drops)
     await asyncio.sleep(outage)
     up_at = asyncio.get_running_loop().time()
