--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -100,6 +100,7 @@
     async def start(self) -> None:
         """Start the process; returns when it is ready, or when it never will be."""
         command = ["-m", "tests.soak.sabotage", self.sabotage] if self.sabotage else ["-m", "runspool.node"]
+        revision = self.agent.known_revision
         variables = os.environ | {"BALANCER_CONFIG": str(self.write_config()), "PYTHONPATH": str(Path.cwd())}
         if self.preload:
             variables |= {"LD_PRELOAD": self.preload, "SOAK_CLOCK": str(self.folder / "clock")}
@@ -109,7 +110,7 @@
             sys.executable, *command, stderr=asyncio.subprocess.PIPE, env=variables
         )
         self.logging = asyncio.ensure_future(self._read_log())
-        self.environment.record("started", node=self.name, revision=self.agent.known_revision)
+        self.environment.record("started", node=self.name, revision=revision)
         while not await self.healthy():
             if self.process.returncode is not None or asyncio.get_running_loop().time() - began > 30:
                 if not self.ended_by_test:
