A call for the list connects within its own limit, not within a second copy of it

The hour was written twice, in two units (DISCOVERY_CONNECT_MS, MAX_CALL_DURATION), and as a connect time-out it needed a special case for the bodies of error responses (MAX_ERROR_BODY_MS), which also cut those of a front whose connect time-out is over 1 s. The call passes its limit to _send_request, as the release of a state does; both constants are gone. A test has an agent whose connections come up after 1.5 s.

--- a/runspool/engines/http_exchange.py
+++ b/runspool/engines/http_exchange.py
@@ -29,8 +29,6 @@
 # in tenths of a millisecond: connecting may have been slow for other reasons.
 MAX_OBSERVATION_TIME = 50
 
-MAX_ERROR_BODY_MS = 1_000  # that the body of a response with an unexpected status is waited for
-
 # Encodes a request; the argument is the time that is left for it, in tenths of a millisecond.
 RequestEncoder = Callable[[int], bytes]
 
@@ -204,10 +202,7 @@
             return response
         body = b""
         # The status alone decides what is promised: a body that breaks off or never ends changes nothing.
-        with (
-            suppress(ExchangeAbortedError),
-            anyio.move_on_after(min(self.settings.connect_ms, MAX_ERROR_BODY_MS) / 1000),
-        ):
+        with suppress(ExchangeAbortedError), anyio.move_on_after(self.settings.connect_ms / 1000):
             body = await self._read_body(exchange)
         cause, detail = self.classify_response(response, body)
         raise ExchangeAbortedError(cause, f"status {response.status} {detail}".strip())
--- a/runspool/node/discovery_call_log.py
+++ b/runspool/node/discovery_call_log.py
@@ -53,9 +53,7 @@
             reason=reason,
             after=call.after_version,
             age_ms=(now - call.made_at) / TENTHS,
-            first_byte_ms=None
-            if call.first_byte_at is None
-            else (call.first_byte_at - call.made_at) / TENTHS,
+            first_byte_ms=_milliseconds_between(call.made_at, call.first_byte_at),
             **self._situation(now, planner),
         )
 
--- a/runspool/node/discovery_client.py
+++ b/runspool/node/discovery_client.py
@@ -182,7 +182,13 @@
         target = request_target(call.after_version, call.wait // TENTHS)
         request = encode_request("GET", target, {"Host": f"{host}:{port}"})
         with self._start_timer(MAX_CALL_DURATION) as timer, self._managed_connection(exchange):
-            await self._send_request(exchange, timer, call.address, lambda _remaining: request)
+            await self._send_request(
+                exchange,
+                timer,
+                call.address,
+                lambda _remaining: request,
+                connect_ms=MAX_CALL_DURATION / TENTHS,
+            )
             await self._read_head(exchange)
             return await self._read_body(exchange)
         raise ExchangeAbortedError(FailureCause.CANCELLED)
--- a/runspool/node/server.py
+++ b/runspool/node/server.py
@@ -39,7 +39,6 @@
 # Of the descriptors not reserved. Requests use a third of all at most, and silent clients can be dropped.
 CLIENT_SHARE = 0.45
 MAX_LIST_BYTES = 16 << 20
-DISCOVERY_CONNECT_MS = 3_600_000  # the system gives up sooner; a connection that comes up late is used
 CLOSING_DISCOVERY_CONNECTIONS = 2  # beside those of the calls that are out
 CONFIG_RETRY_DURATION = 30_000  # tenths of a millisecond that an unusable configuration is read again for
 CONFIG_RETRY_SECONDS = 0.25  # between two readings
@@ -71,7 +70,7 @@
         self.connections = ClientConnections(self.executor, max_clients)
         self.discovery = DiscoveryClient(
             ConnectionSettings(
-                connect_ms=DISCOVERY_CONNECT_MS,
+                connect_ms=1_000,
                 idle_ms=60_000,
                 connections_each=MAX_CALLS_OUT + CLOSING_DISCOVERY_CONNECTIONS,
                 idle_each=1,
--- a/tests/test_slow_discovery_agent.py
+++ b/tests/test_slow_discovery_agent.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from runspool.transport.tcp import TcpConnection, connect
 from tests.node_platform.client import post
 from tests.node_platform.platform import Platform
 
@@ -133,6 +134,21 @@
         await ask_and_expect_no_attempt_at_drained(platform)
 
 
+async def test_an_agent_whose_connections_come_up_late_is_heard(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Connecting was given up after 1 s.
+    async def late_connect(address: tuple[str, int], source: str | None) -> TcpConnection:
+        if address[1] == platform.agent_port:
+            await asyncio.sleep(1.5)
+        return await connect(address, source)
+
+    platform = Platform(tmp_path, ENGINES)
+    monkeypatch.setattr("runspool.engines.connection_pool.connect", late_connect)
+    async with platform.inside(wait=False) as running:
+        await asyncio.wait_for(running.discovery.snapshot_received.wait(), TOLD_WITHIN)
+
+
 async def test_reloads_in_quick_succession_to_a_late_agent_end_at_its_list(tmp_path: Path) -> None:
     platform = Platform(tmp_path, ENGINES)
     async with platform.open(), platform.agent() as second_port, platform.agent() as third_port:
