A front's watch that brings data in the same moment as another one is closed

Two attempts to open a watch that got their first data in one round of the event loop: the first was used, the other's connection stayed open and unread. The test failed before.

--- a/runspool/discovery/watch_client.py
+++ b/runspool/discovery/watch_client.py
@@ -82,10 +82,13 @@
         self.out.append((scope, now))
         return scope
 
-    def opened(self, watch: _OpenWatch) -> None:
-        """Takes the first watch that has brought data; the caller cancels the other attempts."""
-        self.winner = self.winner or watch
+    def opened(self, watch: _OpenWatch) -> bool:
+        """Takes the first watch that has brought data; False for a later one, which its caller closes."""
+        if self.winner is not None:
+            return False
+        self.winner = watch
         self.settled.set()
+        return True
 
     def failed(self, scope: anyio.CancelScope, fault: Exception) -> None:
         """Notes that an attempt has failed."""
@@ -157,7 +160,9 @@
         async def attempt(scope: anyio.CancelScope) -> None:
             with scope:
                 try:
-                    attempts.opened(await self._connect())
+                    watch = await self._connect()
+                    if not attempts.opened(watch):
+                        await anyio.aclose_forcefully(watch.stream)
                 except WATCH_ERRORS as fault:
                     attempts.failed(scope, fault)
 
--- a/tests/test_watch_client.py
+++ b/tests/test_watch_client.py
@@ -23,6 +23,15 @@
 )
 
 
+def watch_client(server: asyncio.Server, heard: asyncio.Event) -> WatchClient:
+    """Return a client of a list service that sets `heard` when the list has come."""
+    port = server.sockets[0].getsockname()[1]
+    config = EndpointListConfig(host=HOST, port=port, quiet_ms=QUIET_MS, retry_ms=20, line_bytes=65_536)
+    return WatchClient(
+        config, "front-0", EndpointTracker(), now, lambda changed: heard.set(), lambda: None, None
+    )
+
+
 @pytest.mark.parametrize("delay", [0.25, 1.5])
 async def test_a_list_service_slower_than_the_quiet_time_is_heard(delay: float) -> None:
     # Each watch was given up after the quiet time, so that none ever brought the list.
@@ -46,12 +55,7 @@
 
     heard = asyncio.Event()
     server = await asyncio.start_server(serve, HOST, 0)
-    port = server.sockets[0].getsockname()[1]
-    config = EndpointListConfig(host=HOST, port=port, quiet_ms=QUIET_MS, retry_ms=20, line_bytes=65_536)
-    client = WatchClient(
-        config, "front-0", EndpointTracker(), now, lambda changed: heard.set(), lambda: None, None
-    )
-    following = asyncio.ensure_future(client.follow())
+    following = asyncio.ensure_future(watch_client(server, heard).follow())
     try:
         await asyncio.wait_for(heard.wait(), WAIT)
         assert most_open <= MAX_OPENING_ATTEMPTS + 1  # one may be closing
@@ -59,3 +63,33 @@
         following.cancel()
         await asyncio.gather(following, return_exceptions=True)
         server.close()
+
+
+async def test_a_watch_that_brings_data_with_another_is_closed() -> None:
+    # Two that brought their first data in one moment: the later one's connection stayed open, unread.
+    readers: list[asyncio.StreamReader] = []
+    two_are_open = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_request(reader)
+        readers.append(reader)
+        if len(readers) == 2:
+            two_are_open.set()
+        await two_are_open.wait()
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(b"%x\r\n%b\r\n" % (len(LIST), LIST))
+        await reader.read()
+        writer.transport.abort()
+
+    heard = asyncio.Event()
+    server = await asyncio.start_server(serve, HOST, 0)
+    following = asyncio.ensure_future(watch_client(server, heard).follow())
+    try:
+        await asyncio.wait_for(heard.wait(), WAIT)
+        async with asyncio.timeout(QUIET_MS / 1000 / 2):  # before the watch that is used counts as lost
+            while sum(reader.at_eof() for reader in readers) < 1:
+                await asyncio.sleep(0.001)
+    finally:
+        following.cancel()
+        await asyncio.gather(following, return_exceptions=True)
+        server.close()
