--- a/runspool/node/discovery_call_planner.py
+++ b/runspool/node/discovery_call_planner.py
@@ -157,7 +157,7 @@
             return Answer(is_usable=False, superseded=[])
         self.calls_out.remove(call)
         if call.address != self.address:
-            return Answer(is_usable=version > self._version, superseded=[])
+            return Answer(is_usable=True, superseded=[])  # the present agent has not answered yet
         superseded = [other for other in self.calls_out if other.number < call.number]
         for other in superseded:
             self._remove(other)
