--- a/runspool/node/state_releaser.py
+++ b/runspool/node/state_releaser.py
@@ -128,7 +128,6 @@
 
     async def run(self) -> None:
         """Retry overdue releases until cancelled."""
-        self._patient_calls = 0
         async with anyio.create_task_group() as patient_calls:
             await self._retry_overdue(patient_calls)
 
@@ -167,10 +166,14 @@
         release.patience = min(max(2 * release.patience, 2 * self.timeout), MAX_PATIENCE)
         engines = self._later_round_engines() or [release.endpoint]
         failure: FailureCause | None = FailureCause.CANCELLED
-        with scope:
-            failure = await self.client.release_state(engines[0].address, release.request, release.patience)
-        self._patient_calls -= 1
-        release.patient_scope = None
+        try:
+            with scope:
+                failure = await self.client.release_state(
+                    engines[0].address, release.request, release.patience
+                )
+        finally:
+            self._patient_calls -= 1
+            release.patient_scope = None
         if failure is None and self.pending.get(release.request) is release:
             self._settle(release)
             release.on_confirmed()
