Log which connection and request an answer came to, what is owed, each overdue watch

The report's logs could not tell which connection an answer came to, what an agent still had to answer, or that a watch was overdue while nothing else was asked. discovery_call_ended has local_port, position and calls_owed, and names the first answer after an interruption; discovery_watch_overdue is new; attempt_ended has first_byte_after, for the send whose first byte was seen after its client had gone. No decision changed.

--- a/runspool/engines/attempt_result.py
+++ b/runspool/engines/attempt_result.py
@@ -26,6 +26,7 @@
     """How an attempt ended; `failure_cause` is None where it succeeded.
 
     `reached_engine` is set once the engine has sent anything: it had the request, or its head at least.
+    `first_byte_at` is when its first byte was about to be sent, tenths of a millisecond; None where none was.
     `state` names the prefill state that is kept at the engine, in the protocol's own form.
     """
 
@@ -37,6 +38,7 @@
     output_tokens: int = 0
     finish_reason: str = ""
     reached_engine: bool = False
+    first_byte_at: int | None = None
     state: Any = None
     load_report: LoadReport | None = None
 
--- a/runspool/engines/connection_pool.py
+++ b/runspool/engines/connection_pool.py
@@ -57,7 +57,7 @@
 class PooledConnection:
     """One connection, and the response that is being read from it."""
 
-    __slots__ = ("address", "idle_since", "response", "round_trip", "tcp")
+    __slots__ = ("address", "exchanges_begun", "idle_since", "response", "round_trip", "tcp")
 
     def __init__(self, address: Address, tcp: TcpConnection, round_trip: int) -> None:
         """`round_trip`: tenths of a millisecond that connecting took, at least one round trip."""
@@ -66,6 +66,7 @@
         self.response = ResponseParser(MAX_HEAD_BYTES)
         self.round_trip = round_trip
         self.idle_since = 0  # 0 until the first exchange on it has ended
+        self.exchanges_begun = 0
 
     def has_unsolicited_data(self) -> bool:
         """Return whether the peer has closed, reset or sent something; then no request may be sent."""
--- a/runspool/node/discovery_call.py
+++ b/runspool/node/discovery_call.py
@@ -19,6 +19,8 @@
         made_at: when it was made.
         first_byte_at: when the first byte of its answer came, None before.
         last_byte_at: when the latest piece of its answer came, None before the first.
+        local_port: of the connection that it was sent on, None before.
+        position: which of the requests on that connection it is, from 1.
     """
 
     number: int
@@ -28,6 +30,8 @@
     made_at: int
     first_byte_at: int | None = None
     last_byte_at: int | None = None
+    local_port: int | None = None
+    position: int = 0
 
     def received_bytes(self, now: int) -> None:
         """Notes that a piece of the answer has come."""
--- a/runspool/node/discovery_call_log.py
+++ b/runspool/node/discovery_call_log.py
@@ -31,12 +31,14 @@
     Attributes:
         counts: calls by how they ended.
         given_up: calls given up since the last one that was answered.
+        is_interrupted: whether the watch was lost or overdue since the last call that was answered.
     """
 
     def __init__(self, tracker: EndpointTracker, counts: Counter[str]) -> None:
         self.tracker = tracker
         self.counts = counts
         self.given_up = 0
+        self.is_interrupted = True
         self.log = structlog.get_logger()
         self.bounded_log = BoundedLog()
 
@@ -48,12 +50,9 @@
         write = self.bounded_log.info if self._is_worth_a_line(call, end, now) else self.log.debug
         write(
             "discovery_call_ended",
-            call=call.number,
             how=end.value,
             reason=reason,
-            after=call.after_version,
-            age_ms=(now - call.made_at) / TENTHS,
-            first_byte_ms=_milliseconds_between(call.made_at, call.first_byte_at),
+            **_described(call, now),
             **self._situation(now, planner),
         )
 
@@ -62,7 +61,8 @@
         match end:
             case CallEnd.ANSWERED:
                 self.given_up = 0
-                return now - call.made_at - call.wait >= SLOW_ANSWER
+                is_first, self.is_interrupted = self.is_interrupted, False
+                return is_first or now - call.made_at - call.wait >= SLOW_ANSWER
             case CallEnd.GIVEN_UP:
                 self.given_up += 1
                 return self.given_up.bit_count() == 1
@@ -75,19 +75,39 @@
         self, former: DiscoveryState, state: DiscoveryState, now: int, planner: DiscoveryCallPlanner
     ) -> None:
         """Logs a change of the state."""
+        self.is_interrupted = self.is_interrupted or state is not DiscoveryState.WATCHING
         self.counts[f"discovery_{state.value}"] += 1
         self.bounded_log.info(
             "discovery_state_changed", former=former.value, state=state.value, **self._situation(now, planner)
         )
 
+    def watch_overdue(self, watch: DiscoveryCall, now: int, planner: DiscoveryCallPlanner) -> None:
+        """Logs a watch that has not been answered in time."""
+        self.counts["discovery_watch_overdue"] += 1
+        self.bounded_log.info(
+            "discovery_watch_overdue", **_described(watch, now), **self._situation(now, planner)
+        )
+
     def _situation(self, now: int, planner: DiscoveryCallPlanner) -> dict[str, object]:
         return {
             "calls_out": len(planner.calls_out),
+            "calls_owed": planner.calls_owed,
             "answer_time_ms": planner.answer_time / TENTHS,
             "version": self.tracker.version,
             "confirmed_ms_ago": _milliseconds_between(self.tracker.confirmed_at, now),
         }
 
 
+def _described(call: DiscoveryCall, now: int) -> dict[str, object]:
+    return {
+        "call": call.number,
+        "after": call.after_version,
+        "local_port": call.local_port,
+        "position": call.position,
+        "age_ms": (now - call.made_at) / TENTHS,
+        "first_byte_ms": _milliseconds_between(call.made_at, call.first_byte_at),
+    }
+
+
 def _milliseconds_between(since: int | None, until: int | None) -> float | None:
     return None if since is None or until is None else (until - since) / TENTHS
--- a/runspool/node/discovery_call_planner.py
+++ b/runspool/node/discovery_call_planner.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -29,6 +30,7 @@
 ARRIVAL_PAUSE = 4_000  # since the last piece of an answer, after which it is not arriving any more
 MAX_ARRIVAL = 30_000  # since the first piece: one that goes on for longer does not delay other calls
 MAX_CALLS_OUT = 6
+MAX_COUNTED_GIVEN_UP = 1_000
 MIN_ONLY_CALL_AGE = 20_000  # from which a call gives way to another where the agent refuses a second one
 
 
@@ -73,6 +75,8 @@
         address: the agent that is called.
         calls_out: the calls that are out, the oldest first.
         answer_time: how long the agent took to begin the answer to the latest of the calls answered.
+        given_up: the numbers of calls given up that an agent may still have to work off: it has not answered
+            any that was made later.
     """
 
     def __init__(self, address: Address, random: Callable[[], float]) -> None:
@@ -90,6 +94,7 @@
         self._needs_watch = False  # an answer has come, and no watch is out
         self._version = 0  # after which to watch
         self._applied_at: int | None = None  # when the last answer was applied; None at a new address
+        self.given_up: deque[int] = deque(maxlen=MAX_COUNTED_GIVEN_UP)
         self._last_answered = 0  # the number of the latest of the calls answered
         self._last_made_at: int | None = None
         self._last_watch_at: int | None = None
@@ -113,6 +118,16 @@
             self.calls_out.append(former_watch)
         return dropped
 
+    @property
+    def calls_owed(self) -> int:
+        """How many calls the agent may still have to answer, those given up among them."""
+        return len(self.calls_out) + len(self.given_up)
+
+    @property
+    def watch(self) -> DiscoveryCall | None:
+        """The watch that is out, None where none is."""
+        return self._watch
+
     def state(self, now: int) -> DiscoveryState:
         """Returns what the calls that are out amount to."""
         if self._needs_watch:
@@ -140,7 +155,7 @@
             self._watch, self._needs_watch, self._last_watch_at = call, False, now
         given_up = self._least_useful(now) if len(self.calls_out) >= MAX_CALLS_OUT else None
         if given_up is not None:
-            self.calls_out.remove(given_up)
+            self._give_up(given_up)
         self.calls_out.append(call)
         self._last_made_at = now
         interval = min(max(self.answer_time // 2, MIN_SEARCH_INTERVAL), MAX_SEARCH_INTERVAL)
@@ -161,6 +176,9 @@
         superseded = [other for other in self.calls_out if other.number < call.number]
         for other in superseded:
             self._remove(other)
+        self.given_up = deque(
+            (number for number in self.given_up if number > call.number), maxlen=MAX_COUNTED_GIVEN_UP
+        )
         self._measure(call, now)
         self._only_call_age = max(MIN_ONLY_CALL_AGE, 2 * self.answer_time)
         is_newer = self._applied_at is None or call.made_at >= self._applied_at
@@ -187,7 +205,7 @@
             return None
         given_up = self._least_useful(now) or self._worn_out_only_call(now)
         if given_up is not None:
-            self._remove(given_up)
+            self._give_up(given_up)
         return given_up
 
     def _worn_out_only_call(self, now: int) -> DiscoveryCall | None:
@@ -198,6 +216,10 @@
         self._only_call_age *= 2
         return oldest
 
+    def _give_up(self, call: DiscoveryCall) -> None:
+        self._remove(call)
+        self.given_up.append(call.number)
+
     def _remove(self, call: DiscoveryCall) -> None:
         self.calls_out.remove(call)
         if call is self._watch:
--- a/runspool/node/discovery_client.py
+++ b/runspool/node/discovery_client.py
@@ -127,6 +127,8 @@
             self.listener.on_lost()
         if state is DiscoveryState.SUSPECT:
             self.listener.connection_lost(WatchOverdueError("the watch is overdue"))
+            if self.planner.watch is not None:
+                self.call_log.watch_overdue(self.planner.watch, now, self.planner)
 
     async def _carry_out(self, call: DiscoveryCall, scope: anyio.CancelScope) -> None:
         """Makes one call and takes in its answer; cancelled through `scope`, it leaves no trace."""
@@ -189,6 +191,8 @@
                 lambda _remaining: request,
                 connect_ms=MAX_CALL_DURATION / TENTHS,
             )
+            call.local_port = exchange.connection.tcp.local_port
+            call.position = exchange.connection.exchanges_begun
             await self._read_head(exchange)
             return await self._read_body(exchange)
         raise ExchangeAbortedError(FailureCause.CANCELLED)
--- a/runspool/node/server.py
+++ b/runspool/node/server.py
@@ -44,6 +44,13 @@
 CONFIG_RETRY_SECONDS = 0.25  # between two readings
 FIRST_LIST_WAIT_SECONDS = 1.5  # that a start waits for a first whole list, as the agent may be silent
 LISTEN_BACKLOG = 1024
+DISCOVERY_CONNECTIONS = ConnectionSettings(
+    connect_ms=1_000,
+    idle_ms=60_000,
+    connections_each=MAX_CALLS_OUT + CLOSING_DISCOVERY_CONNECTIONS,
+    idle_each=1,
+    read_answer_bytes=MAX_LIST_BYTES,
+)
 
 
 class NodeServer:
@@ -69,13 +76,7 @@
         self.executor = NodeExecutor(config, available - max_clients)
         self.connections = ClientConnections(self.executor, max_clients)
         self.discovery = DiscoveryClient(
-            ConnectionSettings(
-                connect_ms=1_000,
-                idle_ms=60_000,
-                connections_each=MAX_CALLS_OUT + CLOSING_DISCOVERY_CONNECTIONS,
-                idle_each=1,
-                read_answer_bytes=MAX_LIST_BYTES,
-            ),
+            DISCOVERY_CONNECTIONS,
             DiscoveryCallPlanner(config.discovery, Random(config.seed).random),
             self.executor.endpoint_tracker,
             now,
--- a/runspool/service/attempt_permit.py
+++ b/runspool/service/attempt_permit.py
@@ -12,16 +12,21 @@
 class AttemptPermit:
     """A `SendPermit` that follows the request's lifecycle and the engine's current state in the list."""
 
-    __slots__ = ("endpoint", "pending", "registry")
+    __slots__ = ("endpoint", "first_byte_at", "pending", "registry")
 
     def __init__(self, registry: EndpointRegistry, pending: PendingRequest, endpoint: Endpoint) -> None:
         self.registry = registry
         self.pending = pending
         self.endpoint = endpoint
+        self.first_byte_at: int | None = None  # when the first byte was permitted, tenths of a millisecond
 
     def deny_first_byte(self) -> str | None:
         """Why nothing of the request may be sent: its engine was taken off the list while it connected."""
-        return WITHDRAWN if self.registry.is_withdrawn(self.endpoint) else None
+        if self.registry.is_withdrawn(self.endpoint):
+            return WITHDRAWN
+        if self.first_byte_at is None:
+            self.first_byte_at = now()
+        return None
 
     def deny_last_byte(self, encoded_at: int) -> str | None:
         """Why the request's last byte must not be sent now, or None if it may be.
--- a/runspool/service/attempt_runner.py
+++ b/runspool/service/attempt_runner.py
@@ -84,6 +84,7 @@
             except Exception as fault:
                 executor.log.exception("attempt_failed", request=pending.id, fault=repr(fault))
                 result = _result_of(FailureCause.MALFORMED_RESPONSE, repr(fault))
+        result.first_byte_at = permit.first_byte_at
         pending.attempt_scope = pending.attempt_endpoint = None
         return result
 
@@ -152,6 +153,7 @@
             "failure_cause": result.failure_cause and result.failure_cause.name,
             "detail": result.detail,
             "duration": now() - sent_at,
+            "first_byte_after": None if result.first_byte_at is None else result.first_byte_at - sent_at,
             "reached_engine": result.reached_engine,
             "cached_tokens": result.cached_tokens,
             "output_tokens": result.output_tokens,
--- a/runspool/transport/tcp.py
+++ b/runspool/transport/tcp.py
@@ -69,6 +69,12 @@
         self.lost_callback = callback
         self._resume_reading()
 
+    @property
+    def local_port(self) -> int:
+        """The port of this end; 0 where the system does not say."""
+        name = self.transport.get_extra_info("sockname")
+        return int(name[1]) if name else 0
+
     @property
     def has_buffered_data(self) -> bool:
         """True where something has come that was not received yet."""
