--- /dev/null
+++ b/tests/fleet/judge.py
@@ -0,0 +1,99 @@
+"""Judges a trial of a fleet: when nodes knew of changes, and what they asked of their agents in outages."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+from tests.fleet.plan import Backlog, Change
+from tests.fleet.trial import Outcome
+
+TOLD_WITHIN = 0.25  # seconds after the agent has a change, where it answers what it was asked in an outage
+# Seconds after its return where it answers nothing of that, and the node has to ask anew.
+RETURN_NOTICED_WITHIN = 1.0
+BACKLOGS_LOST = (Backlog.NONE, Backlog.DEAF, Backlog.RESET)
+# Calls of one node that an agent may have to work off after an outage: the watch, one for each second, and
+# one more at either end.
+CALLS_AT_ANY_OUTAGE = 3
+CALLS_PER_SECOND_OF_OUTAGE = 1.0
+LONGEST_WAIT = 1.0  # seconds that a watch waits
+READ_WITHIN = 0.05  # seconds after its return in which an agent reads what it has not read before
+MOST_CALLS_PER_SECOND = 10
+MOST_CONNECTIONS = 8
+
+
+@dataclass
+class Verdict:
+    """Violations by rule: told late, too many calls owed after an outage, too many calls in a second."""
+
+    told: list[str] = field(default_factory=list)
+    debt: list[str] = field(default_factory=list)
+    calls: list[str] = field(default_factory=list)
+
+    @property
+    def broken(self) -> dict[str, int]:
+        """How many violations there are, by rule, of the rules that were broken."""
+        counts = {"told": len(self.told), "debt": len(self.debt), "calls": len(self.calls)}
+        return {rule: count for rule, count in counts.items() if count}
+
+
+def judge(outcome: Outcome) -> Verdict:
+    """Returns the violations of a trial."""
+    verdict = Verdict()
+    for change in outcome.agents.changes:
+        _judge_change(outcome, change, verdict)
+    for begin, end in outcome.agents.outages:
+        _judge_debt(outcome, begin, end, verdict)
+    _judge_calls(outcome, verdict)
+    return verdict
+
+
+def told_by(outcome: Outcome, change: Change) -> float:
+    """Returns when nodes have to know of a change, but for the machine's own lateness."""
+    times = [change.known_at]
+    if outcome.plan.backlog in BACKLOGS_LOST:
+        times += [end + RETURN_NOTICED_WITHIN for _, end in outcome.agents.outages if end <= change.known_at]
+    return max(times) + TOLD_WITHIN
+
+
+def _judge_change(outcome: Outcome, change: Change, verdict: Verdict) -> None:
+    due = told_by(outcome, change)
+    for node, late in enumerate(outcome.lateness(change)):
+        known_at = change.known_at + late
+        excused = sum(
+            end - begin for begin, end in outcome.lags if end > change.known_at and begin < known_at
+        )
+        if known_at > due + excused:
+            verdict.told.append(f"node {node} knew version {change.version} {late:.3f} s after its agent")
+
+
+def _judge_debt(outcome: Outcome, begin: float, end: float, verdict: Verdict) -> None:
+    read_until = end + (READ_WITHIN if outcome.plan.backlog is Backlog.UNREAD else 0.0)
+    owed = Counter(
+        call.node
+        for call in outcome.agents.calls
+        if begin - LONGEST_WAIT < call.read_at < read_until
+        and (call.answered_at is None or call.answered_at > begin)
+    )
+    most = CALLS_AT_ANY_OUTAGE + CALLS_PER_SECOND_OF_OUTAGE * (end - begin)
+    verdict.debt += [
+        f"node {node}: {count} calls owed after {end - begin:.1f} s"
+        for node, count in owed.items()
+        if count > most
+    ]
+
+
+def _judge_calls(outcome: Outcome, verdict: Verdict) -> None:
+    by_node: dict[int, list[float]] = defaultdict(list)
+    for call in outcome.agents.calls:
+        by_node[call.node].append(call.read_at)
+    for node, times in by_node.items():
+        times.sort()
+        most = max(sum(at <= other < at + 1.0 for other in times) for at in times)
+        if most > MOST_CALLS_PER_SECOND:
+            verdict.calls.append(f"node {node}: {most} calls read in a second")
+    verdict.calls += [
+        f"node {node}: {most} connections"
+        for node, most in outcome.agents.most_connections.items()
+        if most > MOST_CONNECTIONS
+    ]
--- /dev/null
+++ b/tests/fleet/run.py
@@ -0,0 +1,62 @@
+"""Plays a trial of a fleet by hand and prints what was seen: `python -m tests.fleet.run --nodes 178`."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+from statistics import median
+
+from tests.fleet.judge import judge
+from tests.fleet.plan import Backlog, Plan
+from tests.fleet.trial import Outcome, play
+
+LIGHT_BEFORE = 1.0  # seconds before the outage
+WATCHED_AFTER = 4.0  # seconds after the return
+
+
+def main() -> None:
+    """Reads the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--nodes", type=int, default=178)
+    parser.add_argument("--outage", type=float, default=6.0)
+    parser.add_argument("--backlog", choices=[kind.value for kind in Backlog], default="all")
+    parser.add_argument("--cost", type=float, default=0.0003)
+    parser.add_argument("--change", type=float, action="append")
+    parser.add_argument("--lost", type=int, default=0)
+    parser.add_argument("--sabotage", default="")
+    options = parser.parse_args()
+    end = LIGHT_BEFORE + options.outage
+    plan = Plan(
+        nodes=options.nodes,
+        backlog=Backlog(options.backlog),
+        call_cost=options.cost,
+        outages=((LIGHT_BEFORE, end),),
+        changes=tuple(end + after for after in options.change or [0.1, 1.6]),
+        lost_watches=options.lost,
+        duration=end + WATCHED_AFTER,
+    )
+    print_outcome(asyncio.run(play(plan, options.sabotage)))
+
+
+def print_outcome(outcome: Outcome) -> None:
+    """Prints how late nodes were told, what agents were asked, and the verdict."""
+    for change in outcome.agents.changes:
+        late = sorted(outcome.lateness(change))
+        print(f"version {change.version}: median {median(late):.3f} s, last {late[-1]:.3f} s")
+    for begin, end in outcome.agents.outages:
+        during = sum(begin <= call.read_at < end for call in outcome.agents.calls)
+        after = sum(end <= call.read_at < end + 2.0 for call in outcome.agents.calls)
+        print(f"outage of {end - begin:.1f} s: {during} calls read in it, {after} in the 2 s after it")
+    print(
+        f"processor seconds: agents {outcome.agents.processor_seconds:.1f}, "
+        f"nodes {outcome.nodes_processor_seconds:.1f}; idle process late {len(outcome.lags)} times, "
+        f"{sum(end - begin for begin, end in outcome.lags):.2f} s"
+    )
+    verdict = judge(outcome)
+    print(f"broken: {verdict.broken}")
+    for example in (*verdict.told[:3], *verdict.debt[:3], *verdict.calls[:3]):
+        print(f"  {example}")
+
+
+if __name__ == "__main__":
+    main()
