An agent that does not answer is asked once a second, not ten times

Seen by callers: after discovery's return nodes sent to draining engines for one to two seconds. Cause: while no call was answered the node made another every 0.1 s, each on a connection of its own, and gave the earlier ones up; an agent that answers what it was asked, given up or not, or that takes connections from a queue, worked through some 55 of a node before it read its new watch, and nodes that suspected that watch asked on at the same pace, so that it did not recover by itself. Faulty: MIN_SEARCH_INTERVAL 0.1 s in discovery_call_planner, for outages of any length.

Now a second from call to call, a tenth of the silence after 10 s, 4 s at most; 0.2 s where a call has failed, which leaves nothing to work off.

Of an agent that holds what it is asked it still is; one that drops it is noticed within a second, the stated bound, and within 6 s after any outage; the bound on calls over an outage of any length is new.

--- a/runspool/node/discovery_call_planner.py
+++ b/runspool/node/discovery_call_planner.py
@@ -1,9 +1,9 @@
 """When the next call for the endpoint list is made, and what the answer to each call is worth. Free of I/O.
 
 Waiting and asking are separate. A call stays out as long as its connection lives, however slow the agent is,
-and any answer is used; further calls are made beside it only to notice the return of an agent that has
-dropped the earlier ones. How many are out is bounded, and their pace follows how long the agent's answers
-take, so that an agent that is merely slow is not asked faster than it answers.
+and any answer is used: an agent that holds what it is asked in an outage answers it at its return. Further
+calls are made beside it, slowly, only to notice the return of an agent that has dropped the earlier ones. An
+agent may have to work off each of them after the outage, ahead of the next watch, also those given up.
 
 Times are in tenths of a millisecond.
 """
@@ -22,11 +22,15 @@
 WATCH_WAIT = 10_000  # that the agent may hold a watch open
 MIN_PATIENCE = 4_000  # beyond the wait, until other calls are made beside a watch that is not answered
 MAX_PATIENCE = 20_000  # also for a slow agent: a silent one must be noticed within seconds
-MIN_SEARCH_INTERVAL = 1_000  # between two calls while none is answered
-MAX_SEARCH_INTERVAL = 20_000
+MIN_SEARCH_INTERVAL = 10_000  # between two calls while none is answered
+MAX_SEARCH_INTERVAL = 40_000  # the platform has a change known 6 s after the agent could be reached
+SEARCH_SHARE_OF_SILENCE = (
+    10  # from ten times the shortest on, an interval is a tenth of the silence before it
+)
+MAX_INTERVAL_OF_SLOW_AGENT = 20_000
+RETRY_INTERVAL = 2_000  # from a call to the next one, where one has failed: nothing is left to work off
 SEARCH_INTERVAL_JITTER = 0.1  # share by which an interval is shortened at most
 MIN_WATCH_INTERVAL = 500  # between two watches, also where each is answered at once
-ARRIVING_INTERVAL = 10_000  # between two calls while an answer is arriving: each slows the others
 ARRIVAL_PAUSE = 4_000  # since the last piece of an answer, after which it is not arriving any more
 MAX_ARRIVAL = 30_000  # since the first piece: one that goes on for longer does not delay other calls
 MAX_CALLS_OUT = 6
@@ -97,6 +101,7 @@
         self.given_up: deque[int] = deque(maxlen=MAX_COUNTED_GIVEN_UP)
         self._last_answered = 0  # the number of the latest of the calls answered
         self._last_made_at: int | None = None
+        self._silent_since: int | None = None  # the last answer, or the first call; None before that
         self._last_watch_at: int | None = None
         self._search_interval = MIN_SEARCH_INTERVAL
         self._only_call_age = MIN_ONLY_CALL_AGE
@@ -142,8 +147,7 @@
             return now if self._last_watch_at is None else self._last_watch_at + MIN_WATCH_INTERVAL
         if self._last_made_at is None:
             return now
-        interval = ARRIVING_INTERVAL if self._is_any_arriving(now) else self._search_interval
-        search_at = self._last_made_at + interval
+        search_at = self._last_made_at + self._search_interval
         return search_at if self._watch is None else max(search_at, self._overdue_at(self._watch))
 
     def make_call(self, now: int) -> PlannedCall:
@@ -158,8 +162,7 @@
             self._give_up(given_up)
         self.calls_out.append(call)
         self._last_made_at = now
-        interval = min(max(self.answer_time // 2, MIN_SEARCH_INTERVAL), MAX_SEARCH_INTERVAL)
-        self._search_interval = int(interval * (1 - SEARCH_INTERVAL_JITTER * self.random()))
+        self._search_interval = self._interval_after(now)
         return PlannedCall(call, given_up)
 
     def answered(self, call: DiscoveryCall, version: int, now: int) -> Answer:
@@ -173,6 +176,7 @@
         self.calls_out.remove(call)
         if call.address != self.address:
             return Answer(is_usable=True, superseded=[])  # the present agent has not answered yet
+        self._silent_since = now
         superseded = [other for other in self.calls_out if other.number < call.number]
         for other in superseded:
             self._remove(other)
@@ -200,6 +204,7 @@
         if call not in self.calls_out:
             return None
         self._remove(call)
+        self._search_interval = self._jittered(RETRY_INTERVAL)
         is_refused = call.number == self.calls_made and call.first_byte_at is None
         if not is_refused or not self.calls_out or self.state(now) is DiscoveryState.WATCHING:
             return None
@@ -208,6 +213,19 @@
             self._give_up(given_up)
         return given_up
 
+    def _interval_after(self, now: int) -> int:
+        """Returns how long after a call made now the next one is due, if none is answered."""
+        if self._silent_since is None:
+            self._silent_since = now
+        interval = min(
+            max((now - self._silent_since) // SEARCH_SHARE_OF_SILENCE, MIN_SEARCH_INTERVAL),
+            MAX_SEARCH_INTERVAL,
+        )
+        return self._jittered(max(interval, min(self.answer_time // 2, MAX_INTERVAL_OF_SLOW_AGENT)))
+
+    def _jittered(self, interval: int) -> int:
+        return int(interval * (1 - SEARCH_INTERVAL_JITTER * self.random()))
+
     def _worn_out_only_call(self, now: int) -> DiscoveryCall | None:
         """Returns the oldest call if it has been out for long; each time, the next one is given longer."""
         oldest = self.calls_out[0]
@@ -243,9 +261,6 @@
             overdue_at if watch.first_byte_at is None else min(overdue_at, watch.first_byte_at + MIN_PATIENCE)
         )
 
-    def _is_any_arriving(self, now: int) -> bool:
-        return any(_is_arriving(call, now) for call in self.calls_out)
-
     def _least_useful(self, now: int) -> DiscoveryCall | None:
         """Returns the call to give up, so that the ages of the others grow by about the same factor.
 
