One call that an outage has met is not taken for the slowness of the agent

Cause: each answer set the answer time, also one to a call held through the outage; patience with the watches after it grew to 2 s. Faulty: DiscoveryCallPlanner._measure. Now two calls, one made after the answer to the other, have to be slow, and the faster one counts. The new test failed before: a watch lost after the return was suspected 3 s after it was made in place of 1.4 s.

--- a/runspool/node/discovery_call_planner.py
+++ b/runspool/node/discovery_call_planner.py
@@ -17,6 +17,7 @@
 
 from runspool.discovery.concurrent_calls import age_ratio
 from runspool.engines.connection_pool import Address
+from runspool.node.answer_time import AnswerTime
 from runspool.node.discovery_call import DiscoveryCall
 from runspool.node.second_watch import SecondWatch
 
@@ -79,7 +80,6 @@
     Attributes:
         address: the agent that is called.
         calls_out: the calls that are out, the oldest first.
-        answer_time: how long the agent took to begin the answer to the latest of the calls answered.
         given_up: the numbers of calls given up that an agent may still have to work off: it has not answered
             any that was made later.
     """
@@ -89,7 +89,7 @@
         self.address = address
         self.random = random
         self.calls_made = 0
-        self.answer_time = 0
+        self._answer_time = AnswerTime()
         self.restart()
 
     def restart(self) -> None:
@@ -101,7 +101,6 @@
         self._version = 0  # after which to watch
         self._applied_at: int | None = None  # when the last answer was applied; None at a new address
         self.given_up: deque[int] = deque(maxlen=MAX_COUNTED_GIVEN_UP)
-        self._last_answered = 0  # the number of the latest of the calls answered
         self._last_made_at: int | None = None
         self._silent_since: int | None = None  # the last answer, or the first call; None before that
         self._last_watch_at: int | None = None
@@ -120,7 +119,7 @@
         dropped = [call for call in self.calls_out if call is not former_watch]
         self.restart()
         self.address = address
-        self.answer_time = 0
+        self._answer_time = AnswerTime()
         if former_watch is not None:
             self.calls_out.append(former_watch)
         return dropped
@@ -130,6 +129,11 @@
         """How many calls the agent may still have to answer, those given up among them."""
         return len(self.calls_out) + len(self.given_up)
 
+    @property
+    def answer_time(self) -> int:
+        """How long the agent takes to begin an answer, as far as it is known."""
+        return self._answer_time.estimate
+
     @property
     def watch(self) -> DiscoveryCall | None:
         """The watch that is out, None where none is."""
@@ -205,7 +209,7 @@
         self.given_up = deque(
             (number for number in self.given_up if number > call.number), maxlen=MAX_COUNTED_GIVEN_UP
         )
-        self._measure(call, now)
+        self._answer_time.measure(call, now)
         self._only_call_age = max(MIN_ONLY_CALL_AGE, 2 * self.answer_time)
         is_newer = self._applied_at is None or call.made_at >= self._applied_at
         is_usable = is_newer or version > self._version
@@ -270,16 +274,6 @@
         if call is self._watch:
             self._watch = None
 
-    def _measure(self, call: DiscoveryCall, now: int) -> None:
-        """Takes the answer time from a call, unless one made later was answered before."""
-        if call.number < self._last_answered:
-            return
-        self._last_answered = call.number
-        began_at = now if call.first_byte_at is None else call.first_byte_at
-        time = began_at - call.made_at - call.wait
-        if time >= 0:  # else a change ended the wait, and how long the answer took is not known
-            self.answer_time = time
-
     def _overdue_at(self, watch: DiscoveryCall) -> int:
         """Returns from when a watch counts as overdue; one whose answer takes long to arrive is old."""
         patience = min(max(self.answer_time * 3 // 2, MIN_PATIENCE), MAX_PATIENCE)
--- a/tests/test_discovery_call_planner.py
+++ b/tests/test_discovery_call_planner.py
@@ -6,12 +6,18 @@
 from itertools import pairwise
 from random import Random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from runspool.node.discovery_call import DiscoveryCall
-from runspool.node.discovery_call_planner import MAX_CALLS_OUT, DiscoveryCallPlanner
+from runspool.node.discovery_call_planner import (
+    MAX_CALLS_OUT,
+    MIN_PATIENCE,
+    DiscoveryCallPlanner,
+    DiscoveryState,
+)
 from runspool.units import UNITS_PER_SECOND
 
 AGENT, SECOND_AGENT = ("127.0.0.1", 1), ("127.0.0.1", 2)
@@ -115,6 +121,35 @@
     assert agent.met <= CALLS_AT_ANY_OUTAGE + min(seconds, 10) + max(0, min(seconds, 40) - 10) + seconds / 3.5
 
 
+def answer_watch(planner: DiscoveryCallPlanner, made_at: int, took: int) -> int:
+    """Has a watch made and answered, its answer `took` after its wait; returns when that was."""
+    watch = planner.make_call(made_at).call
+    answered_at = made_at + watch.wait + took
+    planner.answered(watch, 1, answered_at)
+    return answered_at
+
+
+@pytest.mark.parametrize(
+    ("took", "patience"),
+    [
+        ((0, 50_000), MIN_PATIENCE),  # the second one was held through an outage
+        ((50_000, 0), MIN_PATIENCE),
+        ((8_000, 8_000), 12_000),
+        ((8_000, 16_000, 8_000), 12_000),
+    ],
+)
+def test_an_outage_is_not_taken_for_the_slowness_of_the_agent(took: tuple[int, ...], patience: int) -> None:
+    # One call that an outage had met doubled the patience with the watches after it.
+    planner = DiscoveryCallPlanner(AGENT, Random(1).random)
+    now = 0
+    for each in took:
+        now = answer_watch(planner, now, each)
+    watch = planner.make_call(now).call
+    overdue_at = watch.made_at + watch.wait + patience
+    assert planner.state(overdue_at - 1) is DiscoveryState.WATCHING
+    assert planner.state(overdue_at) is DiscoveryState.SUSPECT
+
+
 class OutOfOrderAnswers(RuleBasedStateMachine):
     """Answers in any order, each with the list as it was when its call was made; versions begin anew."""
 
