Soak: fleets of 100 to 230 nodes with a verdict, agents that owe, outages in series, a judge of what is owed

tests/fleet: the product's own client for each node, or whole node processes (--real), one process for their agents; by seed: what agents owe (all, all the latest first, only what is connected, nothing, deaf to old connections, unread, reset), outages of 3 to 10 s in series with 0.5 s between, changes up to 3 s after a return, lost watches, requests to engines in the agents' process. Judges: told, debt, calls, each with a node that breaks it.

--- a/runspool/node/second_watch.py
+++ b/runspool/node/second_watch.py
@@ -11,7 +11,11 @@
 from runspool.node.discovery_call import DiscoveryCall
 
 DELAY = 1_500  # after the last answer to what was asked before the end of the interruption
-WAITS = (2_000, 4_000, 8_000)  # together they outlast the first watch and the patience with it
+WAITS: tuple[int, ...] = (
+    2_000,
+    4_000,
+    8_000,
+)  # together they outlast the first watch and the patience with it
 
 
 class SecondWatch:
--- a/tests/fleet/plan.py
+++ b/tests/fleet/plan.py
@@ -34,6 +34,7 @@
         outages: their beginnings and ends.
         changes: when the list changes: an engine begins to drain.
         lost_watches: of each node, watches after each return that are never answered.
+        request_rate: requests a second that each node sends to an engine in the agents' process.
         duration: of the whole.
         seed: of the nodes' own draws.
     """
@@ -44,6 +45,7 @@
     outages: tuple[tuple[float, float], ...] = ()
     changes: tuple[float, ...] = ()
     lost_watches: int = 0
+    request_rate: float = 0.0
     duration: float = 0.0
     seed: int = 1
 
@@ -79,6 +81,13 @@
     processor_seconds: float
 
 
+class Listening(msgspec.Struct, frozen=True):
+    """The ports of the agents in the order of their nodes, and that of all engines."""
+
+    ports: list[int]
+    engines: int
+
+
 class Told(msgspec.Struct, frozen=True):
     """A node knows of an engine's state from `at` on."""
 
@@ -88,8 +97,17 @@
     at: float
 
 
+class Sent(msgspec.Struct, frozen=True):
+    """A node has begun a request to an engine."""
+
+    node: int
+    engine: str
+    at: float
+
+
 class NodesReport(msgspec.Struct, frozen=True):
     """What a process of light nodes reports."""
 
     told: list[Told]
+    sent: list[Sent]
     processor_seconds: float
--- /dev/null
+++ b/tests/fleet/real_nodes.py
@@ -0,0 +1,83 @@
+"""Whole node processes in a trial of a fleet, and what their logs say of changes of the list."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import sys
+import time
+from datetime import datetime
+from pathlib import Path
+
+from tests.fault_proxy import HOST
+from tests.fleet.plan import NodesReport, Told
+from tests.node_platform.ports import free_port
+from tests.node_platform.settings import SETTINGS
+
+STARTED_AT_ONCE = 20
+START_INTERVAL = 0.5  # seconds between two such groups
+MOST_DESCRIPTORS = 256
+
+
+class RealNodes:
+    """One node process for each agent."""
+
+    def __init__(self, folder: Path, seed: int) -> None:
+        self.folder = folder
+        self.seed = seed
+        self.processes: list[tuple[int, asyncio.subprocess.Process, Path]] = []  # by their agents' ports
+
+    async def start(self, agent_ports: list[int]) -> None:
+        """Starts a node for each agent; returns when the last has been started."""
+        for index, port in enumerate(agent_ports):
+            await self._start_node(index, port)
+            if index % STARTED_AT_ONCE == STARTED_AT_ONCE - 1:
+                await asyncio.sleep(START_INTERVAL)
+
+    async def _start_node(self, index: int, agent_port: int) -> None:
+        config, log = self.folder / f"{index}.json", self.folder / f"{index}.log"
+        config.write_text(
+            json.dumps(
+                {
+                    "name": f"n{index}",
+                    "listen": f"{HOST}:{free_port()}",
+                    "discovery": f"{HOST}:{agent_port}",
+                    "seed": f"{self.seed * 1_000 + index:x}",
+                    "limits": {"sockets": MOST_DESCRIPTORS},
+                    "settings": SETTINGS,
+                }
+            )
+        )
+        with log.open("wb") as file:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "runspool.node",
+                stderr=file,
+                env=os.environ | {"BALANCER_CONFIG": str(config)},
+            )
+        self.processes.append((agent_port, process, log))
+
+    async def stop(self) -> NodesReport:
+        """Ends all nodes; returns what they knew, and when by the machine's monotonic clock."""
+        before = resource.getrusage(resource.RUSAGE_CHILDREN)
+        unix_at_zero = time.time() - time.monotonic()
+        for _, process, _ in self.processes:
+            process.kill()
+        for _, process, _ in self.processes:
+            await process.wait()
+        after = resource.getrusage(resource.RUSAGE_CHILDREN)
+        told = [each for port, _, log in self.processes for each in _read_log(port, log, unix_at_zero)]
+        return NodesReport(told, [], after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime)
+
+
+def _read_log(port: int, log: Path, unix_at_zero: float) -> list[Told]:
+    told = []
+    for line in log.read_bytes().splitlines():
+        if b'"event":"endpoint_list_changed"' in line:
+            event = json.loads(line)
+            at = datetime.fromisoformat(event["timestamp"]).timestamp() - unix_at_zero
+            told += [Told(port, engine, state, at) for engine, state in event["engines"].items()]
+    return told
--- /dev/null
+++ b/tests/fleet/sweep.py
@@ -0,0 +1,49 @@
+"""Plays a fleet's trial for each of many seeds, one line a seed: `python -m tests.fleet.sweep --count 10`."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+from statistics import median
+
+from tests.fleet.draw import draw_plan
+from tests.fleet.judge import harness_fault, judge
+from tests.fleet.trial import play
+
+
+def play_seed(seed: int, nodes: int, is_real: bool) -> tuple[bool, str]:
+    """Plays one seed; returns whether it is clean, and its line."""
+    plan = draw_plan(seed, nodes)
+    outcome = asyncio.run(play(plan, is_real=is_real))
+    verdict = judge(outcome)
+    late = sorted(each for change in outcome.agents.changes for each in outcome.lateness(change))
+    fault = harness_fault(outcome)
+    result = fault or (f"broken {verdict.broken}" if verdict.broken else "clean")
+    examples = "".join(f"\n  {line}" for line in (*verdict.told[:3], *verdict.debt[:2], *verdict.calls[:2]))
+    return result == "clean", (
+        f"seed {seed}: {result}; {plan.nodes} nodes, owes {plan.backlog.value}, outages {plan.outages}, "
+        f"cost {plan.call_cost}, {plan.lost_watches} lost, {plan.request_rate} requests/s; "
+        f"{len(outcome.agents.changes)} changes known after {median(late):.3f} s, {late[-1]:.3f} the last"
+        f"{examples}"
+    )
+
+
+def main() -> int:
+    """Plays the seeds that the command line names; returns 0 where all are clean."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--count", type=int, default=10)
+    parser.add_argument("--nodes", type=int, default=0)
+    parser.add_argument("--real", action="store_true", help="whole node processes in place of light nodes")
+    options = parser.parse_args()
+    all_clean = True
+    for seed in range(options.first, options.first + options.count):
+        is_clean, line = play_seed(seed, options.nodes, options.real)
+        all_clean = all_clean and is_clean
+        print(line, flush=True)
+    return 0 if all_clean else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/soak/sabotage.py
+++ b/tests/soak/sabotage.py
@@ -157,6 +157,13 @@
 def ask_without_pause() -> None:
     """Ask an agent that does not answer a hundred times a second."""
     discovery_call_planner.MIN_SEARCH_INTERVAL = 100
+    discovery_call_planner.MAX_SEARCH_INTERVAL = 100
+
+
+def ask_often() -> None:
+    """Ask an agent that does not answer ten times a second."""
+    discovery_call_planner.MIN_SEARCH_INTERVAL = 1_000
+    discovery_call_planner.MAX_SEARCH_INTERVAL = 1_000
 
 
 SABOTAGE: dict[str, Callable[[], None]] = {
@@ -169,6 +176,7 @@
     "drain.gives_up": give_up_late_answers,
     "drain.asks_rarely": ask_rarely,
     "calls": ask_without_pause,
+    "calls.owed": ask_often,
     "held": release_nothing,
     "gone": ignore_disconnects,
     "deadline": extend_deadlines,
--- a/tests/soak/sabotage_conditions.py
+++ b/tests/soak/sabotage_conditions.py
@@ -61,6 +61,7 @@
     "drain.gives_up": lambda nodes: RuleConditions(_late_agents(nodes)),
     "drain.asks_rarely": lambda nodes: RuleConditions(_outage(nodes, 2.0, amount=0.1)),
     "calls": lambda nodes: RuleConditions(_outage(nodes, 3.0, amount=1.0)),
+    "calls.owed": lambda nodes: RuleConditions(_outage(nodes, 3.0, amount=1.0)),
 }
 
 
