Release calls become rare while no engine confirms one

Found in the audit: with all engines hung each release asked every engine, 25 ms apart, and went on in rounds of eight: six nodes with some 20 releases each made 1,611 calls in 6 s, 2,425 in 15 s, all read by the engines at their return, given up or not. With 230 nodes that would be 60,000. Faulty: StateReleaser._run_round, whose rounds knew nothing of each other. Now 64 calls since the last confirmation, then four a second of a node; a connection that never came up leaves no debt and is not counted, the first call to a state's own engine always goes out. The new test failed before.

--- a/runspool/node/state_releaser.py
+++ b/runspool/node/state_releaser.py
@@ -2,11 +2,13 @@
 
 Any engine accepts the call. Where one does not respond for a while, another is asked concurrently, those
 that this node has heard from last come first. Requests that no engine has confirmed in the first round wait
-in a list and are retried as long as the process lives, because time goes on while connections fail.
+in a list and are retried as long as the process lives, because time goes on while connections fail. Where no
+engine confirms any, calls become rare (`ReleaseBudget`).
 """
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from itertools import islice
@@ -18,6 +20,7 @@
 
 from runspool.engines.connection_pool import Address
 from runspool.engines.failure_classification import FailureCause
+from runspool.node.release_budget import ReleaseBudget
 from runspool.service.pending_request import Endpoint
 from runspool.units import UNITS_PER_SECOND
 
@@ -89,6 +92,7 @@
         self.overdue_added = anyio.Event()
         self.rotation = 0  # where the next later round begins among the engines less likely to respond
         self._patient_calls = 0
+        self._budget = ReleaseBudget(time.monotonic)
         self.log = structlog.get_logger()
 
     async def release(self, release: PendingRelease) -> None:
@@ -174,6 +178,8 @@
         finally:
             self._patient_calls -= 1
             release.patient_scope = None
+        if failure is None:
+            self._budget.confirmed()
         if failure is None and self.pending.get(release.request) is release:
             self._settle(release)
             release.on_confirmed()
@@ -216,12 +222,19 @@
 
             async def call(engine: Endpoint, failed: anyio.Event) -> None:
                 nonlocal confirmed
-                if await self.client.release_state(engine.address, release.request, self.timeout) is None:
+                failure = await self.client.release_state(engine.address, release.request, self.timeout)
+                if failure is None:
                     confirmed = True
+                    self._budget.confirmed()
                     tasks.cancel_scope.cancel()
+                elif failure is FailureCause.CONNECT_FAILED:
+                    self._budget.put_back()
                 failed.set()
 
             for engine in engines:
+                is_own = engine is release.endpoint and release.request not in self.overdue
+                if not self._budget.take() and not is_own:
+                    break
                 failed = anyio.Event()
                 tasks.start_soon(call, engine, failed)
                 with anyio.move_on_after(interval):
--- a/tests/test_node_state_release.py
+++ b/tests/test_node_state_release.py
@@ -15,9 +15,12 @@
 from runspool.engines.failure_classification import FailureCause
 from runspool.engines.send_permit import SendPermit
 from runspool.node.executor import NodeExecutor, PendingNodeRequest
+from runspool.node.release_budget import CALL_INTERVAL, MAX_CALLS, ReleaseBudget
 from runspool.node.request_parser import ClientRequest
-from runspool.scheduling.types import AttemptStatus
+from runspool.node.state_releaser import MAX_PATIENT_CALLS, PendingRelease, StateReleaser
+from runspool.scheduling.types import AttemptStatus, Role
 from runspool.service.clock import now
+from runspool.service.pending_request import Endpoint
 from runspool.transport.tcp import TcpConnection, connect
 from runspool.units import UNITS_PER_SECOND, tenths
 from tests.node_platform.client import post
@@ -246,3 +249,38 @@
     return PendingNodeRequest(
         0, "q1", 0, 0, cast(Any, None), client_request=cast(Any, None), prefill_endpoint=endpoint
     )
+
+
+async def test_calls_owed_to_engines_that_all_hang_are_bounded() -> None:
+    # Each release asked every engine and went on in rounds: 43 calls a second and node, as long as it lasted.
+    hang, releases = 3.0, 20
+    calls = 0
+
+    class HungEngines:
+        async def release_state(self, address: Address, request: str, limit: int) -> FailureCause | None:
+            nonlocal calls
+            calls += 1
+            await anyio.sleep(limit / UNITS_PER_SECOND)
+            return FailureCause.TIMED_OUT_BEFORE_RESPONSE
+
+    engines = [Endpoint(index, f"w{index}", ("127.0.0.1", index), Role.DECODE, 0) for index in range(18)]
+    releaser = StateReleaser(HungEngines(), tenths(300), lambda: engines, lambda change: None)
+    with anyio.move_on_after(hang):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(releaser.run)
+            for index in range(releases):
+                release = PendingRelease(f"q{index}", engines[index % 18], lambda: None, lambda: False)
+                tasks.start_soon(releaser.release, release)
+    rare_calls = int(hang / CALL_INTERVAL) + 1
+    assert calls <= releases + MAX_CALLS + rare_calls + MAX_PATIENT_CALLS
+
+
+@pytest.mark.parametrize("cause", [FailureCause.CONNECT_FAILED, None])
+async def test_a_release_is_made_everywhere_where_calls_leave_no_debt(cause: FailureCause | None) -> None:
+    budget = ReleaseBudget(lambda: 0.0)
+    for _ in range(1_000):
+        assert budget.take()
+        if cause is None:
+            budget.confirmed()
+        else:
+            budget.put_back()
