--- a/runspool/node/discovery_call_planner.py
+++ b/runspool/node/discovery_call_planner.py
@@ -19,19 +19,12 @@
 from runspool.engines.connection_pool import Address
 from runspool.node.answer_time import AnswerTime
 from runspool.node.discovery_call import DiscoveryCall
+from runspool.node.search_pace import SearchPace
 from runspool.node.second_watch import SecondWatch
 
 WATCH_WAIT = 10_000  # that the agent may hold a watch open
 MIN_PATIENCE = 4_000  # beyond the wait, until other calls are made beside a watch that is not answered
 MAX_PATIENCE = 20_000  # also for a slow agent: a silent one must be noticed within seconds
-MIN_SEARCH_INTERVAL = 10_000  # between two calls while none is answered
-MAX_SEARCH_INTERVAL = 40_000  # the platform has a change known 6 s after the agent could be reached
-SEARCH_SHARE_OF_SILENCE = (
-    10  # from ten times the shortest on, an interval is a tenth of the silence before it
-)
-MAX_INTERVAL_OF_SLOW_AGENT = 20_000
-RETRY_INTERVAL = 2_000  # from a call to the next one, where one has failed: nothing is left to work off
-SEARCH_INTERVAL_JITTER = 0.1  # share by which an interval is shortened at most
 MIN_WATCH_INTERVAL = 500  # between two watches, also where each is answered at once
 ARRIVAL_PAUSE = 4_000  # since the last piece of an answer, after which it is not arriving any more
 MAX_ARRIVAL = 30_000  # since the first piece: one that goes on for longer does not delay other calls
@@ -102,9 +95,8 @@
         self._applied_at: int | None = None  # when the last answer was applied; None at a new address
         self.given_up: deque[int] = deque(maxlen=MAX_COUNTED_GIVEN_UP)
         self._last_made_at: int | None = None
-        self._silent_since: int | None = None  # the last answer, or the first call; None before that
         self._last_watch_at: int | None = None
-        self._search_interval = MIN_SEARCH_INTERVAL
+        self._pace = SearchPace(self.random)
         self._only_call_age = MIN_ONLY_CALL_AGE
 
     def change_address(self, address: Address) -> list[DiscoveryCall]:
@@ -159,7 +151,7 @@
             return now if self._last_watch_at is None else self._last_watch_at + MIN_WATCH_INTERVAL
         if self._last_made_at is None:
             return now
-        search_at = self._last_made_at + self._search_interval
+        search_at = self._last_made_at + self._pace.interval
         return search_at if self._watch is None else max(search_at, self._overdue_at(self._watch))
 
     def make_call(self, now: int) -> PlannedCall:
@@ -178,7 +170,7 @@
             self._give_up(given_up, now)
         self.calls_out.append(call)
         self._last_made_at = now
-        self._search_interval = self._interval_after(now)
+        self._pace.called(now, self.answer_time)
         return PlannedCall(call, given_up)
 
     def answered(self, call: DiscoveryCall, version: int, now: int) -> Answer:
@@ -195,7 +187,7 @@
         self._second_watch.ended(call, now)
         if call.address != self.address:
             return Answer(is_usable=True, superseded=[])  # the present agent has not answered yet
-        self._silent_since = now
+        self._pace.answered(now)
         superseded = [
             other
             for other in self.calls_out
@@ -230,7 +222,7 @@
         if call not in self.calls_out:
             return None
         self._remove(call, now)
-        self._search_interval = self._jittered(RETRY_INTERVAL)
+        self._pace.failed()
         is_refused = call.number == self.calls_made and call.first_byte_at is None
         if not is_refused or not self.calls_out or self.state(now) is DiscoveryState.WATCHING:
             return None
@@ -239,19 +231,6 @@
             self._give_up(given_up, now)
         return given_up
 
-    def _interval_after(self, now: int) -> int:
-        """Returns how long after a call made now the next one is due, if none is answered."""
-        if self._silent_since is None:
-            self._silent_since = now
-        interval = min(
-            max((now - self._silent_since) // SEARCH_SHARE_OF_SILENCE, MIN_SEARCH_INTERVAL),
-            MAX_SEARCH_INTERVAL,
-        )
-        return self._jittered(max(interval, min(self.answer_time // 2, MAX_INTERVAL_OF_SLOW_AGENT)))
-
-    def _jittered(self, interval: int) -> int:
-        return int(interval * (1 - SEARCH_INTERVAL_JITTER * self.random()))
-
     def _worn_out_only_call(self, now: int) -> DiscoveryCall | None:
         """Returns the oldest call if it has been out for long; each time, the next one is given longer."""
         oldest = self.calls_out[0]
--- a/tests/test_endpoint_watch_faults.py
+++ b/tests/test_endpoint_watch_faults.py
@@ -11,14 +11,10 @@
 import pytest
 from msgspec.structs import replace
 
-from runspool.node import discovery_call_planner
+from runspool.node import search_pace
 from runspool.node import server as node_server
-from runspool.node.discovery_call_planner import (
-    MAX_SEARCH_INTERVAL,
-    MIN_PATIENCE,
-    MIN_SEARCH_INTERVAL,
-    WATCH_WAIT,
-)
+from runspool.node.discovery_call_planner import MIN_PATIENCE, WATCH_WAIT
+from runspool.node.search_pace import MAX_INTERVAL, MIN_INTERVAL
 from runspool.scheduling.types import EngineState
 from runspool.service.clock import now
 from runspool.units import TENTHS, tenths
@@ -111,8 +107,8 @@
 async def test_a_reset_watch_is_opened_anew_without_a_pause(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(discovery_call_planner, "MIN_SEARCH_INTERVAL", tenths(600_000))
-    monkeypatch.setattr(discovery_call_planner, "MAX_SEARCH_INTERVAL", tenths(600_000))
+    monkeypatch.setattr(search_pace, "MIN_INTERVAL", tenths(600_000))
+    monkeypatch.setattr(search_pace, "MAX_INTERVAL", tenths(600_000))
     platform = Platform(tmp_path, PAIR | {"s": "prefill"})
     async with platform.inside() as running:
         await platform.until(lambda: any("after=" in target for target in platform.lists))
@@ -141,8 +137,8 @@
 async def test_silence_of_the_agent_is_noticed_within_what_the_platform_allows() -> None:
     noticed_after_ms = (WATCH_WAIT + MIN_PATIENCE) / TENTHS
     assert noticed_after_ms < 2_000  # an outage lasts some seconds
-    assert MIN_SEARCH_INTERVAL / TENTHS <= 1_000  # where the agent has dropped what it was asked in one
-    assert noticed_after_ms + MAX_SEARCH_INTERVAL / TENTHS < 6_000  # after any silence
+    assert MIN_INTERVAL / TENTHS <= 1_000  # where the agent has dropped what it was asked in one
+    assert noticed_after_ms + MAX_INTERVAL / TENTHS < 6_000  # after any silence
 
 
 @pytest.mark.parametrize(
