Only release calls that an engine may still read count against the budget

A call that met the node's own limit of connections, or a reset, used up the budget as one that hangs does. Found by reading before the landing; the new test fails on the code before for all but refused connections.

--- a/runspool/node/release_budget.py
+++ b/runspool/node/release_budget.py
@@ -38,7 +38,7 @@
         return True
 
     def put_back(self) -> None:
-        """Returns a call that has reached nobody."""
+        """Returns a call that nobody can still read."""
         self._left = min(MAX_CALLS, self._left + 1)
 
     def confirmed(self) -> None:
--- a/runspool/node/state_releaser.py
+++ b/runspool/node/state_releaser.py
@@ -33,6 +33,8 @@
 MAX_OVERDUE = 10_000  # requests that wait for a later round; past them the oldest is abandoned and logged
 # Seconds after a confirmation at which the call is repeated, where an attempt may have ended there since.
 REPEAT_DELAYS = (0.1, 0.4)
+# After these the engine may still read the call.
+LEAVES_CALL_UNREAD = {FailureCause.TIMED_OUT_WHILE_SENDING, FailureCause.TIMED_OUT_BEFORE_RESPONSE}
 MAX_PATIENT_CALLS = 4  # calls at once beside the rounds
 MAX_PATIENCE = 600_000  # tenths of a millisecond that one call beside the rounds may take
 
@@ -227,7 +229,7 @@
                     confirmed = True
                     self._budget.confirmed()
                     tasks.cancel_scope.cancel()
-                elif failure is FailureCause.CONNECT_FAILED:
+                elif failure not in LEAVES_CALL_UNREAD:
                     self._budget.put_back()
                 failed.set()
 
--- a/tests/test_node_state_release.py
+++ b/tests/test_node_state_release.py
@@ -15,7 +15,7 @@
 from runspool.engines.failure_classification import FailureCause
 from runspool.engines.send_permit import SendPermit
 from runspool.node.executor import NodeExecutor, PendingNodeRequest
-from runspool.node.release_budget import CALL_INTERVAL, MAX_CALLS, ReleaseBudget
+from runspool.node.release_budget import CALL_INTERVAL, MAX_CALLS
 from runspool.node.request_parser import ClientRequest
 from runspool.node.state_releaser import MAX_PATIENT_CALLS, PendingRelease, StateReleaser
 from runspool.scheduling.types import AttemptStatus, Role
@@ -251,36 +251,42 @@
     )
 
 
-async def test_calls_owed_to_engines_that_all_hang_are_bounded() -> None:
-    # Each release asked every engine and went on in rounds: 43 calls a second and node, as long as it lasted.
-    hang, releases = 3.0, 20
+async def count_release_calls(releases: int, seconds: float, wait: bool, failure: FailureCause) -> int:
+    """Releases states at 18 engines that all fail, at once or after the time of a call; returns the calls."""
     calls = 0
 
-    class HungEngines:
+    class FailingEngines:
         async def release_state(self, address: Address, request: str, limit: int) -> FailureCause | None:
             nonlocal calls
             calls += 1
-            await anyio.sleep(limit / UNITS_PER_SECOND)
-            return FailureCause.TIMED_OUT_BEFORE_RESPONSE
+            await anyio.sleep(limit / UNITS_PER_SECOND if wait else 0)
+            return failure
 
     engines = [Endpoint(index, f"w{index}", ("127.0.0.1", index), Role.DECODE, 0) for index in range(18)]
-    releaser = StateReleaser(HungEngines(), tenths(300), lambda: engines, lambda change: None)
-    with anyio.move_on_after(hang):
+    releaser = StateReleaser(FailingEngines(), tenths(300), lambda: engines, lambda change: None)
+    with anyio.move_on_after(seconds):
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(releaser.run)
             for index in range(releases):
                 release = PendingRelease(f"q{index}", engines[index % 18], lambda: None, lambda: False)
                 tasks.start_soon(releaser.release, release)
-    rare_calls = int(hang / CALL_INTERVAL) + 1
-    assert calls <= releases + MAX_CALLS + rare_calls + MAX_PATIENT_CALLS
-
-
-@pytest.mark.parametrize("cause", [FailureCause.CONNECT_FAILED, None])
-async def test_a_release_is_made_everywhere_where_calls_leave_no_debt(cause: FailureCause | None) -> None:
-    budget = ReleaseBudget(lambda: 0.0)
-    for _ in range(1_000):
-        assert budget.take()
-        if cause is None:
-            budget.confirmed()
-        else:
-            budget.put_back()
+    return calls
+
+
+async def test_calls_owed_to_engines_that_all_hang_are_bounded() -> None:
+    # Each release asked every engine and went on in rounds: 43 calls a second and node, as long as it lasted.
+    calls = await count_release_calls(20, 3.0, True, FailureCause.TIMED_OUT_BEFORE_RESPONSE)
+    assert calls <= 20 + MAX_CALLS + int(3.0 / CALL_INTERVAL) + 1 + MAX_PATIENT_CALLS
+
+
+@pytest.mark.parametrize(
+    "failure",
+    [
+        FailureCause.CONNECT_FAILED,
+        FailureCause.CONNECTION_LIMIT_REACHED,
+        FailureCause.CLOSED_BEFORE_RESPONSE,
+    ],
+)
+async def test_a_release_asks_every_engine_where_calls_leave_nothing_to_read(failure: FailureCause) -> None:
+    # A node at its limit of connections would have used up the calls that it may leave unanswered.
+    assert await count_release_calls(20, 0.5, False, failure) >= 20 * 18
