A second watch that is given up is not made again at once

Trace of the node: two watches out at its beginning, whole-list calls at 0.93, 1.84, 2.84, 3.74, 4.68 s, and a watch at 4.68 s: the sixth call out made room by giving the second watch up, and SecondWatch.ended made the next one due in the same moment. Now only an answered one is followed by another. The new test failed before (4 watches, 2 wanted).

--- a/runspool/node/discovery_call_planner.py
+++ b/runspool/node/discovery_call_planner.py
@@ -167,7 +167,7 @@
             self._second_watch.made(call)
         given_up = self._least_useful(now) if len(self.calls_out) >= MAX_CALLS_OUT else None
         if given_up is not None:
-            self._give_up(given_up, now)
+            self._give_up(given_up)
         self.calls_out.append(call)
         self._last_made_at = now
         self._pace.called(now, self.answer_time)
@@ -184,7 +184,6 @@
         was_interrupted = self.state(now) is not DiscoveryState.WATCHING
         is_second_watch = call is self._second_watch.call
         self.calls_out.remove(call)
-        self._second_watch.ended(call, now)
         if call.address != self.address:
             return Answer(is_usable=True, superseded=[])  # the present agent has not answered yet
         self._pace.answered(now)
@@ -194,7 +193,7 @@
             if other.number < call.number and not (is_second_watch and self._still_watches(other, version))
         ]
         for other in superseded:
-            self._remove(other, now)
+            self._remove(other)
         if was_interrupted:
             self._second_watch.begin(now)
         self._second_watch.answered(call, now)
@@ -221,14 +220,14 @@
         """
         if call not in self.calls_out:
             return None
-        self._remove(call, now)
+        self._remove(call)
         self._pace.failed()
         is_refused = call.number == self.calls_made and call.first_byte_at is None
         if not is_refused or not self.calls_out or self.state(now) is DiscoveryState.WATCHING:
             return None
         given_up = self._least_useful(now) or self._worn_out_only_call(now)
         if given_up is not None:
-            self._give_up(given_up, now)
+            self._give_up(given_up)
         return given_up
 
     def _worn_out_only_call(self, now: int) -> DiscoveryCall | None:
@@ -243,13 +242,13 @@
         """Returns whether a call is a watch for what comes after this version."""
         return call is self._watch and call.after_version == version
 
-    def _give_up(self, call: DiscoveryCall, now: int) -> None:
-        self._remove(call, now)
+    def _give_up(self, call: DiscoveryCall) -> None:
+        self._remove(call)
         self.given_up.append(call.number)
 
-    def _remove(self, call: DiscoveryCall, now: int) -> None:
+    def _remove(self, call: DiscoveryCall) -> None:
         self.calls_out.remove(call)
-        self._second_watch.ended(call, now)
+        self._second_watch.dropped(call)
         if call is self._watch:
             self._watch = None
 
--- a/runspool/node/second_watch.py
+++ b/runspool/node/second_watch.py
@@ -47,12 +47,15 @@
         self.call = call
 
     def answered(self, call: DiscoveryCall, now: int) -> None:
-        """Puts off the first one while answers come to what was asked before the end of the interruption."""
+        """Plans the next one; puts off the first while answers come to what the interruption has met."""
+        if call is self.call:
+            self.call = None
+            self._due_at = now
         if call.made_at < self._began_at and len(self._waits) == len(WAITS):
             self._due_at = now + DELAY
 
-    def ended(self, call: DiscoveryCall, now: int) -> None:
-        """Notes that a call is not out any more, of whichever kind it is."""
+    def dropped(self, call: DiscoveryCall) -> None:
+        """Notes that a call is not out any more, and has not been answered: no further one is made."""
         if call is self.call:
             self.call = None
-            self._due_at = now
+            self._waits.clear()
--- a/tests/test_discovery_call_planner.py
+++ b/tests/test_discovery_call_planner.py
@@ -150,6 +150,17 @@
     assert planner.state(overdue_at) is DiscoveryState.SUSPECT
 
 
+def test_a_second_watch_that_is_given_up_in_an_outage_is_not_made_again() -> None:
+    # It was made again in the same moment, so that the agent had one more call to work off.
+    planner = DiscoveryCallPlanner(AGENT, Random(1).random)
+    planner.answered(planner.make_call(0).call, 1, 0)
+    made: list[DiscoveryCall] = []
+    for now in range(0, 20 * UNITS_PER_SECOND, STEP):
+        while planner.next_call_at(now) <= now:
+            made.append(planner.make_call(now).call)
+    assert sum(call.after_version is not None for call in made) == 2
+
+
 class OutOfOrderAnswers(RuleBasedStateMachine):
     """Answers in any order, each with the list as it was when its call was made; versions begin anew."""
 
