--- a/review/standins.py
+++ b/review/standins.py
@@ -292,6 +292,7 @@
         self.port = _free_port()
         self.process: asyncio.subprocess.Process | None = None
         self.starts = 0
+        self.killed_start = 0  # the latest start whose process has been killed
 
     async def start(self) -> None:
         """Start the process; this does not wait until it serves."""
@@ -364,10 +365,12 @@
 
     async def kill(self) -> None:
         """Kill the process, if it runs."""
-        if self.process is not None and self.process.returncode is None:
+        if self.process is None:
+            return
+        if self.process.returncode is None and self.killed_start != self.starts:
+            self.killed_start = self.starts
             self.process.send_signal(signal.SIGKILL)
-        if self.process is not None:
-            await self.process.wait()
+        await self.process.wait()
 
     async def end(self) -> None:
         """End the process and remove its files; the end of its log goes to the record."""
