Trailers, chunk extensions and chunk sizes of a message are limited

Cause: the limits counted heads and the data of bodies. What lies between the parts of a body was counted by neither; httptools collects the value of a trailer field whole, and copies it for each piece received. The parser of engine responses had the same gap, without any time limit.

Change: both parsers count the bytes received since a part of the message was last delivered, and refuse the message (431, or a malformed response) over the size limit of a head. Trailer fields are not stored. A field that belongs in the head is refused in a trailer section.

Also fixed: the bytes of a body were counted as bytes of the next head, so that a client with a body over 32 KiB whose next head came in two pieces was refused with 431.

--- a/runspool/engines/http_exchange.py
+++ b/runspool/engines/http_exchange.py
@@ -22,6 +22,7 @@
 from runspool.engines.idle_watchdog import IdleWatchdog, WatchedWait
 from runspool.engines.response_parser import MalformedHttpResponseError, ResponseParser
 from runspool.engines.send_permit import UNRESTRICTED, SendPermit
+from runspool.peer_limits import PeerLimit, PeerLimitMonitor
 from runspool.transport.tcp import ConnectionClosedError
 from runspool.units import TENTHS_PER_SECOND, ms_to_tenths
 
@@ -78,6 +79,7 @@
         idle_timeout_ms: float,
         max_connections: int = 0,
         quiet_ms: float = 0,
+        limit_monitor: PeerLimitMonitor | None = None,
     ) -> None:
         """Create a client with an empty connection pool.
 
@@ -88,7 +90,9 @@
             max_connections: Maximum number of connections to all peers together; 0 for no limit.
             quiet_ms: Time after an exchange, in milliseconds, within which the peer may still send surplus
                 bytes on its connection.
+            limit_monitor: Told whenever a peer reaches a limit; None creates one.
         """
+        self.limit_monitor = limit_monitor or PeerLimitMonitor()
         self.settings = settings
         self.now = now
         self.idle_timeout = ms_to_tenths(idle_timeout_ms)
@@ -182,6 +186,10 @@
             raise ExchangeAbortedError(FailureCause.CLOSED_BEFORE_RESPONSE, str(error)) from None
         exchange.permit.request_written()
 
+    def _limit_reached(self, limit: PeerLimit, exchange: Exchange) -> None:
+        host, port = exchange.connection.address
+        self.limit_monitor.reached(limit, peer=f"{host}:{port}")
+
     def _require_permission(self, denial: str | None) -> None:
         if denial is not None:
             raise ExchangeAbortedError(FailureCause.NOT_PERMITTED, denial)
@@ -240,6 +248,7 @@
             await self._read_more(exchange, FailureCause.CLOSED_DURING_RESPONSE)
             body += response.take_body()
             if len(body) > self.settings.read_answer_bytes:
+                self._limit_reached(PeerLimit.RESPONSE_BODY_BYTES, exchange)
                 raise ExchangeAbortedError(
                     FailureCause.MALFORMED_RESPONSE,
                     f"response body exceeds {self.settings.read_answer_bytes} bytes",
@@ -263,4 +272,6 @@
         try:
             exchange.response.feed(data)
         except MalformedHttpResponseError as error:
+            if error.limit is not None:
+                self._limit_reached(error.limit, exchange)
             raise ExchangeAbortedError(FailureCause.MALFORMED_RESPONSE, str(error)) from None
--- a/runspool/engines/response_parser.py
+++ b/runspool/engines/response_parser.py
@@ -9,12 +9,22 @@
 import httptools
 
 from runspool.errors import RunspoolError
+from runspool.peer_limits import PeerLimit
+from runspool.wire.framing import FramingCounter
 
 MAX_HEADERS = 64  # maximum number of headers stored per response; further ones are ignored
 
 
 class MalformedHttpResponseError(RunspoolError):
-    """The received bytes are not a valid HTTP response."""
+    """The received bytes are not a valid HTTP response.
+
+    Attributes:
+        limit: The limit that was reached; None if the error is of another kind.
+    """
+
+    def __init__(self, message: str, limit: PeerLimit | None = None) -> None:
+        super().__init__(message)
+        self.limit = limit
 
 
 class ResponseParser:
@@ -31,6 +41,7 @@
     """
 
     def __init__(self, max_head_bytes: int) -> None:
+        """Create a parser; `max_head_bytes` also limits what lies between two parts of a body."""
         self._max_head_bytes = max_head_bytes
         self._body: list[bytes] = []
         self._parser = httptools.HttpResponseParser(self)
@@ -45,6 +56,7 @@
         self.keep_alive = False
         self._body.clear()
         self._remaining_head_bytes = self._max_head_bytes
+        self._framing = FramingCounter()
 
     def detach_parser(self) -> None:
         """Release the httptools parser; feed() must not be called afterwards.
@@ -61,8 +73,8 @@
         the connection cannot be reused.
 
         Raises:
-            MalformedHttpResponseError: The bytes are not valid HTTP, the head exceeds its size limit, or
-                the response was already complete.
+            MalformedHttpResponseError: The bytes are not valid HTTP, the head or what lies between two parts
+                of the body exceeds its size limit, or the response was already complete.
         """
         if self.complete:
             raise MalformedHttpResponseError("bytes received after the end of the response")
@@ -75,7 +87,14 @@
         except httptools.HttpParserError as error:
             self._handle_parser_error(str(error))
         if not self.head_complete and self._remaining_head_bytes < 0:
-            raise MalformedHttpResponseError("response head exceeds the size limit")
+            raise MalformedHttpResponseError(
+                "response head exceeds the size limit", PeerLimit.RESPONSE_HEAD_BYTES
+            )
+        if self._framing.add(len(data)) > self._max_head_bytes and self.head_complete and not self.complete:
+            raise MalformedHttpResponseError(
+                f"over {self._max_head_bytes} bytes between two parts of the body",
+                PeerLimit.RESPONSE_FRAMING_BYTES,
+            )
 
     def take_body(self) -> bytes:
         """Return the bytes of the body received since the last call."""
@@ -98,8 +117,8 @@
             self.keep_alive = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; ignore it if MAX_HEADERS different ones are stored."""
-        if not self.complete and len(self.headers) < MAX_HEADERS:
+        """Store a header; ignore it in a trailer section, or if MAX_HEADERS different ones are stored."""
+        if not self.head_complete and len(self.headers) < MAX_HEADERS:
             self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
@@ -108,12 +127,14 @@
             return
         self.status = self._parser.get_status_code()
         self.head_complete = self.status >= 200
+        self._framing.record_delivery()
         if not self.head_complete:
             self.headers.clear()  # the final response follows
 
     def on_body(self, body: bytes) -> None:
         """Store a part of the body for take_body()."""
         if not self.complete:
+            self._framing.record_delivery()
             self._body.append(body)
 
     def on_message_complete(self) -> None:
--- a/runspool/node/discovery_client.py
+++ b/runspool/node/discovery_client.py
@@ -20,6 +20,7 @@
 from runspool.node.discovery_call_log import CallOutcome, DiscoveryCallLog
 from runspool.node.discovery_call_planner import DiscoveryCallPlanner, DiscoveryState
 from runspool.node.endpoint_list import InvalidEndpointListError, decode_endpoint_list, request_target
+from runspool.peer_limits import PeerLimitMonitor
 from runspool.units import TENTHS_PER_MS, TENTHS_PER_SECOND
 from runspool.wire.endpoint_list import EndpointEntry, EndpointListMessage
 
@@ -76,7 +77,7 @@
             on_lost: Called once for each interruption of the watch.
             counts: Counts the calls by how they ended.
         """
-        super().__init__(settings, now, 0)
+        super().__init__(settings, now, 0, limit_monitor=PeerLimitMonitor(counts))
         self.planner = planner
         self.listener = WatchListener(tracker, now, on_changed, on_lost)
         self.log = structlog.get_logger()
--- a/runspool/service/executor_base.py
+++ b/runspool/service/executor_base.py
@@ -8,6 +8,7 @@
 
 from runspool.discovery.endpoint_tracker import EndpointTracker
 from runspool.logs import RateLimitedLog
+from runspool.peer_limits import PeerLimitMonitor
 from runspool.scheduling.request_lifecycle import InvariantMonitor, InvariantViolation
 from runspool.scheduling.settings import RoutingSettings
 from runspool.service import final_responses
@@ -53,6 +54,7 @@
         self.requests: dict[int, RequestT] = {}
         self.shutdown_deadline = 0
         self.counts: Counter[str] = Counter()
+        self.limit_monitor = PeerLimitMonitor(self.counts)
 
     @abstractmethod
     def timer_fired(self, timer: ExecutorTimer) -> None:
--- a/runspool/service/front.py
+++ b/runspool/service/front.py
@@ -79,7 +79,10 @@
         self.request_class_indices = {name: index for index, name in enumerate(config.house.tariffs)}
         self.tenant_indices = {name: index for index, name in enumerate(config.house.tenants)}
         self.engine_client = CompletionsEngineClient(
-            config.front.engines, now, config.front.bounds.stream_silence_ms
+            config.front.engines,
+            now,
+            config.front.bounds.stream_silence_ms,
+            limit_monitor=self.limit_monitor,
         )
         self.started_at = now()
         self.seed = config.front.seed if seed is None else seed
--- a/runspool/service/http_connection.py
+++ b/runspool/service/http_connection.py
@@ -12,6 +12,7 @@
 import anyio
 import structlog
 
+from runspool.peer_limits import PeerLimit, PeerLimitMonitor
 from runspool.service.clock import now
 from runspool.service.pending_request import FinalResponse, RequestT
 from runspool.service.request_executor import RequestExecutor
@@ -76,14 +77,20 @@
     UNIQUE_HEADER_PREFIXES: tuple[str, ...] = ("runspool-",)
 
     def __init__(
-        self, limits: ConnectionLimits, connection: TcpConnection, count_active: Callable[[int], None]
+        self,
+        limits: ConnectionLimits,
+        connection: TcpConnection,
+        count_active: Callable[[int], None],
+        limit_monitor: PeerLimitMonitor,
     ) -> None:
         """Initialize the connection.
 
         `count_active` is called with +1 when the connection starts to serve a request whose head is complete,
         and with -1 after the response, or when the request's body turns out to be late or invalid.
+        `limit_monitor` is told whenever the client reaches a limit.
         """
         self.limits = limits
+        self.limit_monitor = limit_monitor
         self.tcp = connection
         self.parser = HttpRequestParser(limits.head_bytes, limits.query_bytes, self.UNIQUE_HEADER_PREFIXES)
         self.write_timeout_seconds = limits.answer_write_ms / 1000
@@ -199,7 +206,7 @@
             finally:
                 self._count_active(-1)
         except InvalidHttpRequestError as error:
-            await self._refuse(error.status, error.code, error.message)
+            await self._refuse(error)
 
     async def _read_head(self) -> HttpRequest | None:
         """Return the next request once its head is complete, or None if the connection ends without one."""
@@ -225,7 +232,9 @@
                 self._head_scope = None
         if scope.cancelled_caught:
             if self._head_started:
-                raise self._incomplete_request_error("head_time", "the request's head took too long")
+                raise self._incomplete_request_error(
+                    "head_time", "the request's head took too long", PeerLimit.REQUEST_HEAD_TIME
+                )
             # A request may have arrived just as the wait ended. It was received, so it must be answered.
             return await self._read_head() if self.tcp.has_buffered_data else None
         return ready[0]
@@ -249,12 +258,14 @@
                 return
             finally:
                 self._body_scope = None
-        raise self._incomplete_request_error("body_time", "the body took too long")
+        raise self._incomplete_request_error(
+            "body_time", "the body took too long", PeerLimit.REQUEST_BODY_TIME
+        )
 
-    def _incomplete_request_error(self, code: str, message: str) -> InvalidHttpRequestError:
+    def _incomplete_request_error(self, code: str, message: str, limit: PeerLimit) -> InvalidHttpRequestError:
         if self._refused_at_shutdown:
             return InvalidHttpRequestError(503, "closing", "this server is stopping; ask another")
-        return InvalidHttpRequestError(408, code, message)
+        return InvalidHttpRequestError(408, code, message, limit)
 
     async def send_response(
         self, status: int, body: bytes, headers: list[tuple[str, str]] | None = None
@@ -265,11 +276,13 @@
             fields.append(("Connection", "close"))
         await self.send(encode_response_head(status, fields) + body)
 
-    async def _refuse(self, status: int, code: str, message: str) -> None:
+    async def _refuse(self, error: InvalidHttpRequestError) -> None:
         """Respond to an invalid or incomplete request; the connection closes afterwards."""
-        structlog.get_logger().debug("request_refused", status=status, code=code)
+        structlog.get_logger().debug("request_refused", status=error.status, code=error.code)
+        if error.limit is not None:
+            self.limit_monitor.reached(error.limit, code=error.code, message=error.message)
         self.keeps_alive = False
-        await self.send_response(status, self.error_body(code, message))
+        await self.send_response(error.status, self.error_body(error.code, error.message))
         with anyio.move_on_after(LINGER_SECONDS):
             self.tcp.send_eof()
             remaining = LINGER_BYTES
--- a/runspool/wire/http_requests.py
+++ b/runspool/wire/http_requests.py
@@ -13,8 +13,10 @@
 import httptools
 
 from runspool.errors import RunspoolError
+from runspool.peer_limits import PeerLimit
+from runspool.wire.framing import FramingCounter
 
-MAX_HEADERS = 100  # maximum number of headers per request
+MAX_HEADERS = 100  # maximum number of headers per request, and of fields in its trailer section
 REASON_PHRASES = {status.value: status.phrase for status in HTTPStatus}  # reason phrase by HTTP status
 
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -28,13 +30,15 @@
         status: HTTP status of the response.
         code: Machine-readable error code.
         message: Human-readable description.
+        limit: The limit that was reached; None if the error is of another kind.
     """
 
-    def __init__(self, status: int, code: str, message: str) -> None:
+    def __init__(self, status: int, code: str, message: str, limit: PeerLimit | None = None) -> None:
         super().__init__(message)
         self.status = status
         self.code = code
         self.message = message
+        self.limit = limit
 
 
 class HttpRequest:
@@ -78,7 +82,7 @@
     """Parses the requests of one connection.
 
     Attributes:
-        head_bytes: Maximum size of a request head.
+        head_bytes: Maximum size of a request head, and of what lies between two parts of a request's body.
         body_bytes: Maximum size of a request body.
         unique_prefixes: A header whose lower-case name begins with one of these must not be repeated.
         ready: Requests in the order received. The last one may be incomplete. The caller removes them.
@@ -91,7 +95,8 @@
         self.ready: deque[HttpRequest] = deque()
         self._error: InvalidHttpRequestError | None = None
         self._complete_before_error = 0  # number of complete requests in `ready` before the error
-        self._bytes_since_head = 0  # number of bytes received since the last complete head
+        self._framing = FramingCounter()
+        self._trailer_fields = 0  # number of fields in the trailer section of the last request
         self._parser = httptools.HttpRequestParser(self)
 
     def feed(self, data: bytes) -> None:
@@ -103,26 +108,32 @@
         Raises:
             InvalidHttpRequestError: `data` is not a valid request, or exceeds a size limit.
         """
-        self._bytes_since_head += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._record_error(400, "malformed", "no other protocol is spoken here")
         except httptools.HttpParserError as error:
             self._record_error(400, "malformed", str(error))
-        last = self.ready[-1] if self.ready else None
-        in_head = last is None or not last.head_complete
-        if in_head and self._bytes_since_head > self.head_bytes:
-            self._record_error(431, "malformed", f"a head of over {self.head_bytes} bytes")
+        if self._framing.add(len(data)) > self.head_bytes:
+            self._record_framing_error()
         if self._error is not None:
             while len(self.ready) > self._complete_before_error:
                 self.ready.pop()
             self.raise_pending_error()
 
-    def _record_error(self, status: int, code: str, message: str) -> None:
+    def _record_framing_error(self) -> None:
+        last = self.ready[-1] if self.ready else None
+        if last is None or not last.head_complete:
+            message, limit = f"a head of over {self.head_bytes} bytes", PeerLimit.REQUEST_HEAD_BYTES
+        else:
+            message = f"over {self.head_bytes} bytes between two parts of a body"
+            limit = PeerLimit.REQUEST_FRAMING_BYTES
+        self._record_error(431, "malformed", message, limit)
+
+    def _record_error(self, status: int, code: str, message: str, limit: PeerLimit | None = None) -> None:
         """Record the first error. The request that contains it and all later ones are discarded."""
         if self._error is None:
-            self._error = InvalidHttpRequestError(status, code, message)
+            self._error = InvalidHttpRequestError(status, code, message, limit)
             self._complete_before_error = sum(request.complete for request in self.ready)
 
     def raise_pending_error(self) -> None:
@@ -139,6 +150,7 @@
     def on_message_begin(self) -> None:
         """Append a new request to `ready`."""
         self.ready.append(HttpRequest())
+        self._trailer_fields = 0
 
     def on_url(self, part: bytes) -> None:
         """Append a part of the request target."""
@@ -146,40 +158,62 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; record an error if there are too many or it must not be repeated."""
-        headers = self.ready[-1].headers
+        request = self.ready[-1]
+        headers = request.headers
         key = name.decode("latin-1").lower()
-        if len(headers) >= MAX_HEADERS:
-            self._record_error(431, "malformed", f"more than {MAX_HEADERS} headers")
+        if request.head_complete:
+            self._check_trailer_field(key)
+        elif len(headers) >= MAX_HEADERS:
+            self._record_error(431, "malformed", f"more than {MAX_HEADERS} headers", PeerLimit.REQUEST_FIELDS)
         elif key in headers and key.startswith(self.unique_prefixes):
             self._record_error(400, "malformed", f"{key} is said twice")
         else:
             headers[key] = value.decode("latin-1")
 
+    def _check_trailer_field(self, key: str) -> None:
+        """Check a field of a trailer section, which is not stored (RFC 9110, 6.5.1)."""
+        self._trailer_fields += 1
+        if key.startswith(self.unique_prefixes):
+            self._record_error(400, "malformed", f"{key} is said in the trailer section")
+        elif self._trailer_fields > MAX_HEADERS:
+            self._record_error(
+                431, "malformed", f"more than {MAX_HEADERS} trailer fields", PeerLimit.REQUEST_FIELDS
+            )
+
     def on_headers_complete(self) -> None:
         """Mark the head as complete; record an error if it is not acceptable."""
         request = self.ready[-1]
         request.method = self._parser.get_method().decode("latin-1")
         request.version = self._parser.get_http_version()
         request.head_complete = True
-        self._bytes_since_head = 0
+        self._framing.record_delivery()
         length = int(request.headers.get("content-length", "0"))  # validated by httptools
         if request.version not in ("1.0", "1.1"):
             self._record_error(505, "malformed", f"HTTP/{request.version} is not spoken here")
         elif request.version == "1.1" and "host" not in request.headers:
             self._record_error(400, "malformed", "no host header")
         elif length > self.body_bytes:
-            self._record_error(413, "query_bytes", f"a body of {length} bytes, {self.body_bytes} are taken")
+            self._record_error(
+                413,
+                "query_bytes",
+                f"a body of {length} bytes, {self.body_bytes} are taken",
+                PeerLimit.REQUEST_BODY_BYTES,
+            )
 
     def on_body(self, part: bytes) -> None:
         """Append a part of the body; record an error if it exceeds the size limit."""
+        self._framing.record_delivery()
         body = self.ready[-1].body
         if len(body) + len(part) > self.body_bytes:
-            self._record_error(413, "query_bytes", f"a body of over {self.body_bytes} bytes")
+            self._record_error(
+                413, "query_bytes", f"a body of over {self.body_bytes} bytes", PeerLimit.REQUEST_BODY_BYTES
+            )
         elif self._error is None:
             body += part
 
     def on_message_complete(self) -> None:
         """Mark the request as complete."""
+        self._framing.record_delivery()
         self.ready[-1].complete = True
         self.ready[-1].keeps_alive = self._parser.should_keep_alive()
 
