Memory of client connections: small reads, and a limit for bodies together

Cause: the size of each body was limited, but not that of all. One read took up to 256 KB of each connection before any of them was served, and a request that had been refused was still referred to, by a frame and a traceback, while its connection discarded data for up to a second.

Change: a read takes at most 32 KiB, and a connection is paused from 32 KiB on. All larger bodies together may take a quarter of limits.memory_mb; over that the largest incomplete body is refused with 503, counted and logged as request_memory. Bodies of up to 16 KiB are always accepted, so that usual clients are served beside clients with the largest bodies. A refused request is freed at once, and an accepted one is held once instead of twice.

Tests: tests/test_flooding_clients.py and further forms in tests/test_engine_streams.py.

--- a/runspool/node/config.py
+++ b/runspool/node/config.py
@@ -22,6 +22,7 @@
 
 MAX_FILE_BYTES = 32 << 20  # maximum size of the configuration file
 DEFAULT_MAX_DESCRIPTORS = 1024  # limit on open file descriptors if the file does not set one
+DEFAULT_MEMORY_MB = 192.0  # memory limit of the process if the file does not set one
 MIN_MAX_DESCRIPTORS = 64  # lowest limit accepted; a lower one leaves too few for clients and engines
 EMPTY_ENDPOINT_LIST = {"index": 0, "snapshot": True}  # used if the file contains no endpoint list
 
@@ -54,6 +55,7 @@
         discovery: The address of the discovery agent.
         seed: The seed of the scheduler's random numbers.
         max_descriptors: The maximum number of file descriptors that the process may hold.
+        memory_mb: The memory, in MB, over which the platform kills the process.
         last_known_endpoints: The latest endpoint list that the platform knew when it wrote the file. The node
             uses it until the discovery agent responds.
         settings: The platform's settings.
@@ -64,6 +66,7 @@
     discovery: Address
     seed: int
     max_descriptors: int
+    memory_mb: float
     last_known_endpoints: EndpointListMessage
     settings: PlatformSettings
 
@@ -121,6 +124,7 @@
         discovery=_read_address(top, "discovery", environ.get("BALANCER_DISCOVERY")),
         seed=_parse_seed(document.get("seed", 0)),
         max_descriptors=_read_max_descriptors(top),
+        memory_mb=top.section("limits").number("memory_mb", DEFAULT_MEMORY_MB),
         last_known_endpoints=last_known_endpoints,
         settings=_parse_platform_settings(document["settings"]),
     )
--- a/runspool/node/request_handler.py
+++ b/runspool/node/request_handler.py
@@ -90,7 +90,7 @@
             connection: The client's connection.
             count_active: Called with +1 when a request begins and with -1 when it ends.
         """
-        super().__init__(LIMITS, connection, count_active, executor.limit_monitor)
+        super().__init__(LIMITS, connection, count_active, executor.limit_monitor, executor.request_memory)
         self.executor = executor
         self.has_accepted_request = False
         self.awaits_first_request = True
@@ -168,7 +168,7 @@
     async def _handle_completion(self, request: HttpRequest, received_at: int) -> None:
         try:
             client_request = parse_client_request(
-                request.target, request.headers, bytes(request.body), self.executor.platform_settings
+                request.target, request.headers, request.take_body(), self.executor.platform_settings
             )
             if request.version == "1.0":
                 raise InvalidRequestError("version", "an answer in parts needs HTTP/1.1", 505)
--- a/runspool/node/server.py
+++ b/runspool/node/server.py
@@ -49,6 +49,9 @@
 CONFIG_RETRY_SECONDS = 0.25  # interval between two attempts to read the configuration
 # How long a start waits for the first whole endpoint list; the discovery agent may not respond at all.
 FIRST_LIST_WAIT_SECONDS = 1.5
+# Share of the process's memory limit for the larger request bodies that clients' connections hold together.
+REQUEST_MEMORY_SHARE = 0.25
+BYTES_PER_MB = 1 << 20
 LISTEN_BACKLOG = 1024  # maximum number of connections that wait in the kernel until they are accepted
 DISCOVERY_CONNECTION_SETTINGS = ConnectionSettings(
     connect_ms=1_000,
@@ -94,6 +97,7 @@
         available = max_descriptors - RESERVED_DESCRIPTORS
         max_clients = int(available * CLIENT_DESCRIPTOR_SHARE)
         self.executor = NodeExecutor(config, available - max_clients)
+        self.executor.request_memory.max_bytes = int(config.memory_mb * REQUEST_MEMORY_SHARE * BYTES_PER_MB)
         self.connections = ClientConnections(self.executor, max_clients)
         self.discovery = DiscoveryClient(
             DISCOVERY_CONNECTION_SETTINGS,
--- a/runspool/service/completions_handler.py
+++ b/runspool/service/completions_handler.py
@@ -39,7 +39,9 @@
         `count_active` is called with +1 when the connection starts to serve a request whose head is complete,
         and with -1 after the response, or when the request's body turns out to be late or invalid.
         """
-        super().__init__(front.config.front.bounds, connection, count_active, front.limit_monitor)
+        super().__init__(
+            front.config.front.bounds, connection, count_active, front.limit_monitor, front.request_memory
+        )
         self.front = front
 
     @property
@@ -89,7 +91,7 @@
     async def _serve_completion(self, request: HttpRequest, received_at: int) -> None:
         try:
             completion = wire.parse_completion_request(
-                request.headers, bytes(request.body), self.front.config
+                request.headers, request.take_body(), self.front.config
             )
             if completion.stream and request.version == "1.0":
                 raise InvalidRequestError("stream", "an answer in parts needs HTTP/1.1", 505)
--- a/runspool/service/executor_base.py
+++ b/runspool/service/executor_base.py
@@ -18,6 +18,7 @@
 from runspool.service.endpoint_registry import EndpointRegistry
 from runspool.service.pending_request import FinalResponse, RequestT, ResponseKind
 from runspool.service.protocol_hooks import ProtocolHooks
+from runspool.service.request_memory import RequestMemory
 from runspool.service.start_time_converter import StartTimeConverter
 from runspool.service.task_spawner import TaskSpawner
 from runspool.service.timer_queue import ExecutorTimer, TimerQueue
@@ -54,6 +55,7 @@
         self.requests: dict[int, RequestT] = {}
         self.shutdown_deadline = 0
         self.counts: Counter[str] = Counter()
+        self.request_memory = RequestMemory()
         self.limit_monitor = PeerLimitMonitor(self.counts)
 
     @abstractmethod
--- a/runspool/service/http_connection.py
+++ b/runspool/service/http_connection.py
@@ -16,6 +16,7 @@
 from runspool.service.clock import now
 from runspool.service.pending_request import FinalResponse, RequestT
 from runspool.service.request_executor import RequestExecutor
+from runspool.service.request_memory import RequestMemory
 from runspool.service.streaming_response import StreamingResponse
 from runspool.transport.tcp import ConnectionClosedError, TcpConnection
 from runspool.wire.http_requests import (
@@ -82,15 +83,18 @@
         connection: TcpConnection,
         count_active: Callable[[int], None],
         limit_monitor: PeerLimitMonitor,
+        request_memory: RequestMemory,
     ) -> None:
         """Initialize the connection.
 
         `count_active` is called with +1 when the connection starts to serve a request whose head is complete,
         and with -1 after the response, or when the request's body turns out to be late or invalid.
-        `limit_monitor` is told whenever the client reaches a limit.
+        `limit_monitor` is told whenever the client reaches a limit. `request_memory` counts the bodies that
+        this connection holds.
         """
         self.limits = limits
         self.limit_monitor = limit_monitor
+        self.request_memory = request_memory
         self.tcp = connection
         self.parser = HttpRequestParser(limits.head_bytes, limits.query_bytes, self.UNIQUE_HEADER_PREFIXES)
         self.write_timeout_seconds = limits.answer_write_ms / 1000
@@ -100,7 +104,8 @@
         self._head_scope: anyio.CancelScope | None = None  # set while waiting for the head of a request
         self._head_started = False  # whether a part of that head has been read
         self._body_scope: anyio.CancelScope | None = None  # set while waiting for the rest of a body
-        self._refused_at_shutdown = False  # whether an incomplete request is refused because of the shutdown
+        # The response to the incomplete request if it is not its client's fault that the wait for it ends.
+        self._refusal: InvalidHttpRequestError | None = None
 
     @property
     @abstractmethod
@@ -165,10 +170,16 @@
         """
         if self._body_scope is not None:
             if not self.tcp.has_unread_input():
-                self._refused_at_shutdown = True
+                self._refusal = _refused_at_shutdown()
                 self._body_scope.cancel()
         elif self._head_started and self.stop_waiting_for_request(even_if_head_started=True):
-            self._refused_at_shutdown = True
+            self._refusal = _refused_at_shutdown()
+
+    def refuse_for_memory(self) -> None:
+        """Refuse the request whose body is being received, because all bodies together are too large."""
+        if self._body_scope is not None:
+            self._refusal = _refused_for_memory()
+            self._body_scope.cancel()
 
     async def run(self) -> None:
         """Serve requests until the connection is to be closed; the caller closes the socket.
@@ -204,6 +215,7 @@
                 self.keeps_alive = request.keeps_alive
                 await self.route(request, received_at)
             finally:
+                self.request_memory.release(self)
                 self._count_active(-1)
         except InvalidHttpRequestError as error:
             await self._refuse(error)
@@ -255,6 +267,8 @@
                         self.parser.feed(await self.tcp.receive())
                     except ConnectionClosedError:
                         raise InvalidHttpRequestError(400, "malformed", "the body ends early") from None
+                    if not self.request_memory.hold(self, len(request.body), request.complete):
+                        raise _refused_for_memory()
                 return
             finally:
                 self._body_scope = None
@@ -263,9 +277,7 @@
         )
 
     def _incomplete_request_error(self, code: str, message: str, limit: PeerLimit) -> InvalidHttpRequestError:
-        if self._refused_at_shutdown:
-            return InvalidHttpRequestError(503, "closing", "this server is stopping; ask another")
-        return InvalidHttpRequestError(408, code, message, limit)
+        return self._refusal or InvalidHttpRequestError(408, code, message, limit)
 
     async def send_response(
         self, status: int, body: bytes, headers: list[tuple[str, str]] | None = None
@@ -281,6 +293,7 @@
         structlog.get_logger().debug("request_refused", status=error.status, code=error.code)
         if error.limit is not None:
             self.limit_monitor.reached(error.limit, code=error.code, message=error.message)
+        self.parser.discard_requests()
         self.keeps_alive = False
         await self.send_response(error.status, self.error_body(error.code, error.message))
         with anyio.move_on_after(LINGER_SECONDS):
@@ -326,3 +339,13 @@
                 streaming.unwatch()
         assert pending.final_response is not None
         return pending.final_response
+
+
+def _refused_at_shutdown() -> InvalidHttpRequestError:
+    return InvalidHttpRequestError(503, "closing", "this server is stopping; ask another")
+
+
+def _refused_for_memory() -> InvalidHttpRequestError:
+    return InvalidHttpRequestError(
+        503, "memory", "this server holds too many large requests; ask again", PeerLimit.REQUEST_MEMORY
+    )
--- a/runspool/transport/tcp.py
+++ b/runspool/transport/tcp.py
@@ -19,18 +19,27 @@
 
 from runspool.errors import RunspoolError
 
-# Number of buffered bytes above which reading from the socket is paused.
-MAX_BUFFERED_BYTES = 65_536
+# Maximum size of one read from a socket. It bounds what a process with many connections stores between two
+# pauses of their reading, and the time for which it works on one of them.
+READ_BYTES = 32_768
+# Number of buffered bytes from which reading from the socket is paused.
+MAX_BUFFERED_BYTES = 32_768
+# Number of buffered bytes above which further data is discarded while on_disconnect() is in effect.
+MAX_UNREAD_BYTES = 262_144
 # Number of bytes that are read and discarded while on_disconnect() is in effect. A peer that sends more is
 # treated as gone.
 MAX_DISCARDED_BYTES = 8 << 20
 
+# All connections are read into the same memory, because each read is copied at once. A process runs one event
+# loop, in one thread.
+_read_buffer = memoryview(bytearray(READ_BYTES))
+
 
 class ConnectionClosedError(RunspoolError, ConnectionError):
     """The connection was closed, reset or lost, so that no more data can be received or sent."""
 
 
-class TcpConnection(asyncio.Protocol):
+class TcpConnection(asyncio.BufferedProtocol):
     """A TCP connection. At most one task may receive at a time, and at most one may send.
 
     Attributes:
@@ -67,7 +76,7 @@
         """Call `callback` once when the peer has gone. Set `disconnect_callback` to None to cancel this.
 
         While a callback is set, reading is not paused; otherwise the end of the connection could not be
-        detected behind unread data. Data beyond MAX_BUFFERED_BYTES is read and discarded.
+        detected behind unread data. Data beyond MAX_UNREAD_BYTES is read and discarded.
         """
         self.disconnect_callback = callback
         self._resume_reading()
@@ -191,10 +200,18 @@
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(0)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the memory for the next read."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take the data of a read."""
+        self.data_received(bytes(_read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Buffer `data`; if the buffer is full, pause reading or, while a callback is set, discard data."""
         if self.discarded_bytes or (
-            self.disconnect_callback is not None and self._buffered_bytes > MAX_BUFFERED_BYTES
+            self.disconnect_callback is not None and self._buffered_bytes > MAX_UNREAD_BYTES
         ):
             self.discarded_bytes += len(data)
             if self.discarded_bytes > MAX_DISCARDED_BYTES:
@@ -203,7 +220,7 @@
         self._buffer.append(data)
         self._buffered_bytes += len(data)
         if (
-            self._buffered_bytes > MAX_BUFFERED_BYTES
+            self._buffered_bytes >= MAX_BUFFERED_BYTES
             and not self._reading_paused
             and self.disconnect_callback is None
         ):
--- a/runspool/wire/http_requests.py
+++ b/runspool/wire/http_requests.py
@@ -72,6 +72,12 @@
         """The target without its query string."""
         return self.target.partition(b"?")[0].decode("latin-1")
 
+    def take_body(self) -> bytes:
+        """Return the body and keep no copy of it."""
+        body = bytes(self.body)
+        self.body = bytearray()
+        return body
+
     @property
     def expects_continue(self) -> bool:
         """Whether the client waits for the interim response 100 Continue before it sends the body."""
@@ -118,7 +124,7 @@
             self._record_framing_error()
         if self._error is not None:
             while len(self.ready) > self._complete_before_error:
-                self.ready.pop()
+                self.ready.pop().body = bytearray()
             self.raise_pending_error()
 
     def _record_framing_error(self) -> None:
@@ -141,6 +147,12 @@
         if self._error is not None and not self.ready:
             raise self._error
 
+    def discard_requests(self) -> None:
+        """Forget all requests and their bodies, which a caller may still refer to for a while."""
+        for request in self.ready:
+            request.body = bytearray()
+        self.ready.clear()
+
     def close(self) -> None:
         """Release the httptools parser, which refers back to this object; no feed() may follow."""
         del self._parser
--- a/tests/test_engine_streams.py
+++ b/tests/test_engine_streams.py
@@ -31,6 +31,8 @@
     "endless head": b"HTTP/1.1 200 OK\r\nA: " + b"x" * 70_000,
     "bad size": STREAM_HEAD + b"zz\r\n",
     "3 GB": STREAM_HEAD + b"c0000000\r\n" + b"x" * 70_000,
+    "endless extension": STREAM_HEAD + b"5;a=" + b"x" * 300_000,
+    "endless trailer": STREAM_HEAD + b"0\r\nA: " + b"x" * 300_000,
 }
 
 
@@ -58,6 +60,9 @@
     "does not fit": b"5\r\n" + EVENTS[1] + b"\r\n",
     "no json": chunked(b"data: {oops\n\n"),
     "3 GB": b"c0000000\r\n" + b"x" * 70_000,
+    "endless extension": b"5;a=" + b"x" * 300_000,
+    "endless trailer": b"0\r\nA: " + b"x" * 300_000,
+    "endless trailer fields": b"0\r\n" + b"A: x\r\n" * 60_000,
     "half": chunked(EVENTS[1][:20]),
     "no end": b"0\r\n\r\n",
 }
--- /dev/null
+++ b/tests/test_flooding_clients.py
@@ -0,0 +1,100 @@
+"""Clients that send at full speed do not take a node over its memory limit."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from runspool.service.request_memory import SMALL_BODY_BYTES, RequestMemory
+from tests.node_platform.client import post
+from tests.node_platform.platform import Platform
+
+pytestmark = pytest.mark.anyio
+PREFILL_AND_DECODE = {"r": "prefill", "w": "decode"}
+MEMORY_LIMIT_MB = 192  # highest limit of the platform's days, and that of the node under test
+FLOOD_SECONDS = 3.0
+SAMPLE_INTERVAL = 0.01  # seconds between two readings of the node's memory
+
+
+def resident_memory_mb(process: int) -> float:
+    status = Path(f"/proc/{process}/status").read_text()
+    line = next(line for line in status.splitlines() if line.startswith("VmRSS:"))
+    return int(line.split()[1]) / 1024
+
+
+@asynccontextmanager
+async def flood(platform: Platform, form: str, clients: int) -> AsyncIterator[asyncio.subprocess.Process]:
+    """Run clients that flood the node."""
+    arguments = [
+        "-m",
+        "tests.node_platform.flood",
+        str(platform.port),
+        form,
+        str(clients),
+        str(FLOOD_SECONDS),
+    ]
+    process = await asyncio.create_subprocess_exec(sys.executable, *arguments)
+    try:
+        yield process
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+
+# Sixty clients with an endless trailer section, and hundreds with bodies of the allowed size, took a node
+# over its memory limit (review/1).
+@pytest.mark.parametrize(
+    ("form", "clients"),
+    [
+        ("value of a trailer field", 60),
+        ("chunk extension", 400),
+        ("chunks of data", 400),
+        ("body that stops before its end", 400),
+        ("data behind an open request", 400),
+    ],
+)
+async def test_flooding_clients_do_not_take_a_node_over_its_memory_limit(
+    form: str, clients: int, tmp_path: Path
+) -> None:
+    platform = Platform(tmp_path, PREFILL_AND_DECODE)
+    platform.sockets = 1024
+    async with platform.open():
+        async with flood(platform, form, clients) as process:
+            peak = 0.0
+            while process.returncode is None:
+                peak = max(peak, resident_memory_mb(platform.process.pid))
+                await asyncio.sleep(SAMPLE_INTERVAL)
+        assert peak < MEMORY_LIMIT_MB
+        assert (await platform.send_request(post("q1"))).complete
+
+
+class RecordingHolder:
+    """A connection that records whether it was told to refuse its request."""
+
+    def __init__(self) -> None:
+        self.refused = False
+
+    def refuse_for_memory(self) -> None:
+        self.refused = True
+
+
+def test_the_largest_incomplete_body_is_refused_when_all_bodies_are_too_large() -> None:
+    memory = RequestMemory(100_000)
+    complete, large, small, newest = (RecordingHolder() for _ in range(4))
+    assert memory.hold(complete, 50_000, complete=True)
+    assert memory.hold(large, 30_000, complete=False)
+    assert memory.hold(small, 18_000, complete=False)
+    assert memory.hold(newest, 20_000, complete=False)
+    assert (complete.refused, large.refused, small.refused, newest.refused) == (False, True, False, False)
+    assert not memory.hold(newest, 40_000, complete=True)
+    assert memory.held_bytes == 68_000
+    assert memory.hold(newest, SMALL_BODY_BYTES, complete=False)
+    for holder in (complete, large, small, newest):
+        memory.release(holder)
+    assert memory.held_bytes == 0
