--- a/runspool/engines/http_exchange.py
+++ b/runspool/engines/http_exchange.py
@@ -43,15 +43,17 @@
         connection: Set once a connection has been acquired.
         timer: Time limit of the exchange; set together with `connection`.
         reached_engine: True once any byte of the response has arrived.
+        body_bytes: Number of bytes held of a body that is not a stream.
     """
 
-    __slots__ = ("connection", "permit", "reached_engine", "timer")
+    __slots__ = ("body_bytes", "connection", "permit", "reached_engine", "timer")
 
     def __init__(self, permit: SendPermit = UNRESTRICTED) -> None:
         self.permit = permit
         self.connection: PooledConnection
         self.timer: ExchangeTimer
         self.reached_engine = False
+        self.body_bytes = 0
 
     @property
     def response(self) -> ResponseParser:
@@ -247,14 +249,18 @@
         while not response.complete:
             await self._read_more(exchange, FailureCause.CLOSED_DURING_RESPONSE)
             body += response.take_body()
-            if len(body) > self.settings.read_answer_bytes:
+            exchange.body_bytes = len(body)
+            if len(body) > (max_bytes := self._max_body_bytes(exchange)):
                 self._limit_reached(PeerLimit.RESPONSE_BODY_BYTES, exchange)
                 raise ExchangeAbortedError(
-                    FailureCause.MALFORMED_RESPONSE,
-                    f"response body exceeds {self.settings.read_answer_bytes} bytes",
+                    FailureCause.MALFORMED_RESPONSE, f"response body exceeds {max_bytes} bytes"
                 )
         return bytes(body)
 
+    def _max_body_bytes(self, exchange: Exchange) -> int:
+        """Return the maximum size of the body of this exchange's response."""
+        return self.settings.read_answer_bytes
+
     async def _read_more(self, exchange: Exchange, cause_if_closed: FailureCause) -> None:
         """Receive the next bytes and pass them to the response parser.
 
--- a/runspool/node/discovery_client.py
+++ b/runspool/node/discovery_client.py
@@ -86,6 +86,7 @@
         self.snapshot_received = anyio.Event()
         self._state = DiscoveryState.SEARCHING
         self._call_scopes: dict[int, anyio.CancelScope] = {}  # cancel the open calls, by call number
+        self._open_exchanges: set[Exchange] = set()
         self._replan = anyio.Event()  # set when the time of the next call may have changed
 
     def classify_response(self, response: ResponseParser, body: bytes) -> tuple[FailureCause, str]:
@@ -192,6 +193,18 @@
             ExchangeAbortedError: There was no successful response.
         """
         exchange = _DiscoveryExchange(call)
+        self._open_exchanges.add(exchange)
+        try:
+            return await self._run_exchange(exchange, call)
+        finally:
+            self._open_exchanges.discard(exchange)
+
+    def _max_body_bytes(self, exchange: Exchange) -> int:
+        """Return what the bodies of the other open calls leave of the limit for all of them."""
+        others = sum(other.body_bytes for other in self._open_exchanges if other is not exchange)
+        return self.settings.read_answer_bytes - others
+
+    async def _run_exchange(self, exchange: Exchange, call: DiscoveryCall) -> bytes:
         host, port = call.address
         target = request_target(call.after_version, call.wait // TENTHS_PER_MS)
         request = encode_request("GET", target, {"Host": f"{host}:{port}"})
--- a/runspool/node/server.py
+++ b/runspool/node/server.py
@@ -41,7 +41,7 @@
 # Clients' share of the descriptors that are not reserved; engines get the rest. Requests in progress use at
 # most a third of all descriptors, and connections of clients without a request can be closed.
 CLIENT_DESCRIPTOR_SHARE = 0.45
-MAX_LIST_BYTES = 16 << 20  # maximum size of a response of the discovery agent
+MAX_LIST_BYTES = 16 << 20  # maximum size of all responses of the discovery agent that are being received
 # Connections to the discovery agent that may be closing while the maximum number of calls is open.
 CLOSING_DISCOVERY_CONNECTIONS = 2
 # How long reading an invalid configuration is retried, in tenths of a millisecond.
--- a/tests/test_slow_discovery_agent.py
+++ b/tests/test_slow_discovery_agent.py
@@ -8,8 +8,10 @@
 
 import pytest
 
+from runspool.node.server import MAX_LIST_BYTES
 from runspool.transport.tcp import TcpConnection, connect
 from tests.node_platform.client import post
+from tests.node_platform.inspection import wait_until
 from tests.node_platform.platform import Platform
 
 pytestmark = pytest.mark.anyio
@@ -169,3 +171,15 @@
             await asyncio.sleep(0.05)
         await seconds_until_drain_is_known(platform)
         await assert_drained_engine_is_not_used(platform)
+
+
+# The size of one response was limited, but not that of all responses that are received at the same time.
+async def test_endless_lists_of_several_calls_share_one_limit(tmp_path: Path) -> None:
+    endless = b"HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n" + b" " * (MAX_LIST_BYTES // 2)
+    platform = Platform(tmp_path, {"r": "prefill", "w": "decode"})
+    platform.scripted_list_responses = [endless, endless, endless]
+    async with platform.open_in_process(wait=False) as server:
+        await wait_until(lambda: server.executor.counts["limit_response_body_bytes"] > 0)
+        await wait_until(server.discovery.snapshot_received.is_set)
+        held = sum(exchange.body_bytes for exchange in server.discovery._open_exchanges)
+        assert held <= MAX_LIST_BYTES
