Client connections share the event loop in turns of 2 ms

Cause: a connection was served to the end of what had been read of it before any other task ran, because neither parsing nor a write that the kernel takes returns to the event loop.

Change: a connection asks for a turn before it parses 2 KiB, serves a request or discards a read. After 2 ms in an iteration of the event loop the rest waits, and connections with the least work behind them go first. Deferred work is counted and logged as work_time.

--- a/runspool/node/request_handler.py
+++ b/runspool/node/request_handler.py
@@ -90,7 +90,7 @@
             connection: The client's connection.
             count_active: Called with +1 when a request begins and with -1 when it ends.
         """
-        super().__init__(LIMITS, connection, count_active, executor.limit_monitor, executor.request_memory)
+        super().__init__(LIMITS, connection, count_active, executor.connection_resources)
         self.executor = executor
         self.has_accepted_request = False
         self.awaits_first_request = True
--- a/runspool/node/server.py
+++ b/runspool/node/server.py
@@ -97,7 +97,8 @@
         available = max_descriptors - RESERVED_DESCRIPTORS
         max_clients = int(available * CLIENT_DESCRIPTOR_SHARE)
         self.executor = NodeExecutor(config, available - max_clients)
-        self.executor.request_memory.max_bytes = int(config.memory_mb * REQUEST_MEMORY_SHARE * BYTES_PER_MB)
+        request_memory = self.executor.connection_resources.request_memory
+        request_memory.max_bytes = int(config.memory_mb * REQUEST_MEMORY_SHARE * BYTES_PER_MB)
         self.connections = ClientConnections(self.executor, max_clients)
         self.discovery = DiscoveryClient(
             DISCOVERY_CONNECTION_SETTINGS,
--- a/runspool/peer_limits.py
+++ b/runspool/peer_limits.py
@@ -28,6 +28,8 @@
     REQUEST_BODY_TIME = "request_body_time"
     # Bytes of request bodies that all client connections together hold.
     REQUEST_MEMORY = "request_memory"
+    # Time for which clients' input may be worked on in one iteration of the event loop; the rest waits.
+    WORK_TIME = "work_time"
     # Bytes of a response's head, interim responses included.
     RESPONSE_HEAD_BYTES = "response_head_bytes"
     # Bytes of a response between parts of its body.
--- a/runspool/service/completions_handler.py
+++ b/runspool/service/completions_handler.py
@@ -39,9 +39,7 @@
         `count_active` is called with +1 when the connection starts to serve a request whose head is complete,
         and with -1 after the response, or when the request's body turns out to be late or invalid.
         """
-        super().__init__(
-            front.config.front.bounds, connection, count_active, front.limit_monitor, front.request_memory
-        )
+        super().__init__(front.config.front.bounds, connection, count_active, front.connection_resources)
         self.front = front
 
     @property
--- a/runspool/service/executor_base.py
+++ b/runspool/service/executor_base.py
@@ -14,11 +14,11 @@
 from runspool.service import final_responses
 from runspool.service.cell_scheduler import CellScheduler
 from runspool.service.clock import now, wall_clock_offset_ms
+from runspool.service.connection_resources import ConnectionResources
 from runspool.service.deadline_guard import DeadlineGuard
 from runspool.service.endpoint_registry import EndpointRegistry
 from runspool.service.pending_request import FinalResponse, RequestT, ResponseKind
 from runspool.service.protocol_hooks import ProtocolHooks
-from runspool.service.request_memory import RequestMemory
 from runspool.service.start_time_converter import StartTimeConverter
 from runspool.service.task_spawner import TaskSpawner
 from runspool.service.timer_queue import ExecutorTimer, TimerQueue
@@ -55,8 +55,8 @@
         self.requests: dict[int, RequestT] = {}
         self.shutdown_deadline = 0
         self.counts: Counter[str] = Counter()
-        self.request_memory = RequestMemory()
         self.limit_monitor = PeerLimitMonitor(self.counts)
+        self.connection_resources = ConnectionResources(self.limit_monitor)
 
     @abstractmethod
     def timer_fired(self, timer: ExecutorTimer) -> None:
--- a/runspool/service/http_connection.py
+++ b/runspool/service/http_connection.py
@@ -12,12 +12,13 @@
 import anyio
 import structlog
 
-from runspool.peer_limits import PeerLimit, PeerLimitMonitor
+from runspool.peer_limits import PeerLimit
 from runspool.service.clock import now
+from runspool.service.connection_resources import ConnectionResources
 from runspool.service.pending_request import FinalResponse, RequestT
 from runspool.service.request_executor import RequestExecutor
-from runspool.service.request_memory import RequestMemory
 from runspool.service.streaming_response import StreamingResponse
+from runspool.service.work_turns import Worker
 from runspool.transport.tcp import ConnectionClosedError, TcpConnection
 from runspool.wire.http_requests import (
     CONTINUE_RESPONSE,
@@ -30,6 +31,7 @@
 # After a request was refused, further bytes from the client are read and discarded before the socket is
 # closed. Closing a socket with unread bytes resets the connection, and the client might lose the response.
 LINGER_SECONDS = 1.0  # maximum time for which bytes are discarded
+PARSE_BYTES = 2_048  # maximum number of bytes that are parsed in one unit of work
 LINGER_BYTES = 8 << 20  # maximum number of bytes that are discarded; more may arrive in the last read
 
 
@@ -61,7 +63,7 @@
         """The maximum time that a write may wait for the client to read, in milliseconds."""
 
 
-class HttpConnection(ABC):
+class HttpConnection(Worker, ABC):
     """Serves the requests of one connection, one after another.
 
     Subclasses respond to requests in route(). Requests that have arrived are still served after `closing` is
@@ -82,19 +84,19 @@
         limits: ConnectionLimits,
         connection: TcpConnection,
         count_active: Callable[[int], None],
-        limit_monitor: PeerLimitMonitor,
-        request_memory: RequestMemory,
+        resources: ConnectionResources,
     ) -> None:
         """Initialize the connection.
 
         `count_active` is called with +1 when the connection starts to serve a request whose head is complete,
         and with -1 after the response, or when the request's body turns out to be late or invalid.
-        `limit_monitor` is told whenever the client reaches a limit. `request_memory` counts the bodies that
-        this connection holds.
+        `resources` is shared by all connections.
         """
+        super().__init__()
         self.limits = limits
-        self.limit_monitor = limit_monitor
-        self.request_memory = request_memory
+        self.limit_monitor = resources.limit_monitor
+        self.request_memory = resources.request_memory
+        self.work_turns = resources.work_turns
         self.tcp = connection
         self.parser = HttpRequestParser(limits.head_bytes, limits.query_bytes, self.UNIQUE_HEADER_PREFIXES)
         self.write_timeout_seconds = limits.answer_write_ms / 1000
@@ -213,6 +215,7 @@
                 await self._read_body(request)
                 self.parser.ready.popleft()
                 self.keeps_alive = request.keeps_alive
+                await self.work_turns.take(self)
                 await self.route(request, received_at)
             finally:
                 self.request_memory.release(self)
@@ -233,7 +236,7 @@
             try:
                 while not (ready and ready[0].head_complete):
                     try:
-                        self.parser.feed(await self.tcp.receive())
+                        await self._parse_more()
                     except ConnectionClosedError:
                         if self._head_started:
                             raise InvalidHttpRequestError(400, "malformed", "the head ends early") from None
@@ -251,6 +254,19 @@
             return await self._read_head() if self.tcp.has_buffered_data else None
         return ready[0]
 
+    async def _parse_more(self) -> None:
+        """Wait for input and parse a piece of it.
+
+        Raises:
+            ConnectionClosedError: The client has closed the connection.
+            InvalidHttpRequestError: The input is not a valid request.
+        """
+        if not self.tcp.has_buffered_data:
+            self.units = 0
+        await self.tcp.wait_for_data()
+        await self.work_turns.take(self)
+        self.parser.feed(self.tcp.take_data(PARSE_BYTES))
+
     def _deadline_after(self, wait_ms: float) -> float:
         """Return the end of a wait that starts now, in seconds on the event loop's clock."""
         return anyio.current_time() + wait_ms / 1000
@@ -264,7 +280,7 @@
             try:
                 while not request.complete:
                     try:
-                        self.parser.feed(await self.tcp.receive())
+                        await self._parse_more()
                     except ConnectionClosedError:
                         raise InvalidHttpRequestError(400, "malformed", "the body ends early") from None
                     if not self.request_memory.hold(self, len(request.body), request.complete):
@@ -300,7 +316,9 @@
             self.tcp.send_eof()
             remaining = LINGER_BYTES
             while remaining > 0:
-                remaining -= len(await self.tcp.receive())
+                await self.tcp.wait_for_data()
+                await self.work_turns.take(self)
+                remaining -= len(self.tcp.take_data())
 
     async def send(self, data: bytes) -> None:
         """Write a part of the response and wait until the kernel has accepted it.
--- a/runspool/transport/tcp.py
+++ b/runspool/transport/tcp.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import select
+from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from socket import socket
@@ -53,7 +54,7 @@
         self.transport: asyncio.Transport
         self.disconnect_callback: Callable[[], None] | None = None
         self.discarded_bytes = 0
-        self._buffer: list[bytes] = []
+        self._buffer: deque[bytes] = deque()
         self._buffered_bytes = 0
         self._error: BaseException | None = None
         # Whether the peer has closed its sending side or is treated as gone, or the connection is lost.
@@ -98,6 +99,11 @@
         Raises:
             ConnectionClosedError: The peer has closed or data was discarded, and the buffer is empty.
         """
+        await self.wait_for_data()
+        return self.take_data()
+
+    async def wait_for_data(self) -> None:
+        """Wait until data is buffered; raise the same error as receive()."""
         while not self._buffer:
             if self._peer_closed or self.discarded_bytes:
                 raise ConnectionClosedError(
@@ -111,10 +117,19 @@
                 await self._receive_waiter
             finally:
                 self._receive_waiter = None
-        data = self._buffer[0] if len(self._buffer) == 1 else b"".join(self._buffer)
-        self._buffer.clear()
-        self._buffered_bytes = 0
-        if self._reading_paused:
+
+    def take_data(self, max_bytes: int = 0) -> bytes:
+        """Return buffered data, at most `max_bytes` of it, or all of it if that is 0."""
+        if max_bytes and self._buffered_bytes > max_bytes:
+            data = self._buffer.popleft()
+            if len(data) > max_bytes:
+                self._buffer.appendleft(data[max_bytes:])
+                data = data[:max_bytes]
+        else:
+            data = self._buffer[0] if len(self._buffer) == 1 else b"".join(self._buffer)
+            self._buffer.clear()
+        self._buffered_bytes -= len(data)
+        if self._reading_paused and not self._buffer:
             self._resume_reading()
         return data
 
@@ -216,6 +231,11 @@
             self.discarded_bytes += len(data)
             if self.discarded_bytes > MAX_DISCARDED_BYTES:
                 self._handle_peer_gone()
+            elif not self._reading_paused:
+                # Read the rest in later iterations of the event loop: a client may send it at full speed.
+                self._reading_paused = True
+                self.transport.pause_reading()
+                asyncio.get_running_loop().call_soon(self._resume_reading)
             return
         self._buffer.append(data)
         self._buffered_bytes += len(data)
--- a/tests/node_platform/flood.py
+++ b/tests/node_platform/flood.py
@@ -47,6 +47,15 @@
     "chunks of one byte": Form(_CHUNKED, b"1\r\na\r\n" * 10_000),
     "body that stops before its end": Form(_WITH_LENGTH, PIECE, MAX_BODY_BYTES - 1),
     "requests without a path": Form(b"", b"GET /none HTTP/1.1\r\nHost: o\r\n\r\n" * 900),
+    "requests in small chunks": Form(
+        b"",
+        (
+            b"PUT /none HTTP/1.1\r\nHost: o\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + b"1\r\na\r\n" * 100
+            + b"0\r\n\r\n"
+        )
+        * 900,
+    ),
     "health checks": Form(b"", b"GET /_health HTTP/1.1\r\nHost: o\r\n\r\n" * 900),
     "data behind an open request": Form(
         _head(b"Req-Owner: one\r\nReq-Extra: prompt_len=40,max_out=40\r\nContent-Length: 2") + b"{}", PIECE
--- a/tests/test_flooding_clients.py
+++ b/tests/test_flooding_clients.py
@@ -1,16 +1,19 @@
-"""Clients that send at full speed do not take a node over its memory limit."""
+"""Clients that send at full speed: the node's memory, and its service for usual clients."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
 
 import pytest
 
+from runspool.peer_limits import PeerLimitMonitor
 from runspool.service.request_memory import SMALL_BODY_BYTES, RequestMemory
+from runspool.service.work_turns import MAX_WORK_SECONDS, Worker, WorkTurns
 from tests.node_platform.client import post
 from tests.node_platform.platform import Platform
 
@@ -18,6 +21,7 @@
 PREFILL_AND_DECODE = {"r": "prefill", "w": "decode"}
 MEMORY_LIMIT_MB = 192  # highest limit of the platform's days, and that of the node under test
 FLOOD_SECONDS = 3.0
+USUAL_DEADLINE_SECONDS = 3.0  # time that usual clients have, half of the deadline of their class
 SAMPLE_INTERVAL = 0.01  # seconds between two readings of the node's memory
 
 
@@ -98,3 +102,39 @@
     for holder in (complete, large, small, newest):
         memory.release(holder)
     assert memory.held_bytes == 0
+
+
+# Clients with hundreds of requests at once held the event loop, and usual clients got no answer (review/2).
+@pytest.mark.parametrize(
+    "form", ["requests without a path", "health checks", "requests in small chunks", "chunks of one byte"]
+)
+async def test_usual_clients_are_answered_in_time_beside_flooding_ones(form: str, tmp_path: Path) -> None:
+    platform = Platform(tmp_path, PREFILL_AND_DECODE)
+    async with platform.open(), flood(platform, form, 30) as process:
+        await asyncio.sleep(FLOOD_SECONDS / 3)
+        for index in range(4):
+            async with asyncio.timeout(USUAL_DEADLINE_SECONDS):
+                response = await platform.send_request(post(f"q{index}", req_deadline="3000m"))
+            assert (response.status, response.complete) == (200, True)
+        assert process.returncode is None
+
+
+async def test_units_of_work_beyond_an_iterations_time_wait_and_the_least_busy_go_first() -> None:
+    turns, order = WorkTurns(PeerLimitMonitor()), []
+
+    async def work(name: str, units_before: int) -> None:
+        worker = Worker()
+        worker.units = units_before
+        await turns.take(worker)
+        order.append(name)
+
+    async def work_long() -> None:
+        await turns.take(Worker())
+        time.sleep(2 * MAX_WORK_SECONDS)  # noqa: ASYNC251 - one unit that takes long
+
+    async with asyncio.TaskGroup() as tasks:  # the three tasks begin in the same iteration
+        tasks.create_task(work_long())
+        tasks.create_task(work("busy", 100))
+        tasks.create_task(work("usual", 0))
+    assert order == ["usual", "busy"]
+    assert turns.deferred_count == 2
