Only events end the wait of a stream, not any bytes of it

Cause: the idle timeout began anew with each read, whatever it brought.

Evidence: ten forms of such streams in one test.

The front's watch also left a connection open if it was cancelled when it had just been opened; the new test of the watch hung on it.

--- a/runspool/discovery/watch_client.py
+++ b/runspool/discovery/watch_client.py
@@ -139,13 +139,17 @@
         opened = await self._open()
         data, partial_line = opened.first_data, b""
         async with opened.stream:
+            message_due = anyio.current_time() + self.settings.quiet_ms / MS_PER_SECOND
             while True:
                 *lines, partial_line = (partial_line + data).split(b"\n")
                 if len(partial_line) > self.settings.line_bytes:
                     raise WatchInterruptedError(f"line exceeds {self.settings.line_bytes} bytes")
                 for line in lines:
                     self._receive_line(line)
-                with anyio.fail_after(self.settings.quiet_ms / MS_PER_SECOND):
+                if any(line.strip() for line in lines):
+                    message_due = anyio.current_time() + self.settings.quiet_ms / MS_PER_SECOND
+                # Bytes that complete no message do not extend the wait for the next one.
+                with anyio.fail_after(message_due - anyio.current_time()):
                     data = await self._receive_data(opened.stream, opened.connection)
 
     async def _open(self) -> _OpenWatch:
@@ -169,12 +173,17 @@
                 except WATCH_ERRORS as error:
                     attempts.failed(scope, error)
 
-        async with anyio.create_task_group() as tasks:
-            while attempts.winner is None and (attempts.pending or attempts.last_error is None):
-                tasks.start_soon(attempt, attempts.begin(self.now()))
-                with anyio.move_on_after(self.settings.quiet_ms / MS_PER_SECOND):
-                    await attempts.settled.wait()
-            tasks.cancel_scope.cancel()
+        try:
+            async with anyio.create_task_group() as tasks:
+                while attempts.winner is None and (attempts.pending or attempts.last_error is None):
+                    tasks.start_soon(attempt, attempts.begin(self.now()))
+                    with anyio.move_on_after(self.settings.quiet_ms / MS_PER_SECOND):
+                        await attempts.settled.wait()
+                tasks.cancel_scope.cancel()
+        except BaseException:
+            if attempts.winner is not None:  # this call is being cancelled, so nobody else closes the watch
+                await anyio.aclose_forcefully(attempts.winner.stream)
+            raise
         if attempts.winner is not None:
             return attempts.winner
         raise attempts.last_error or WatchInterruptedError("the watch could not be opened")
--- a/runspool/engines/completions_client.py
+++ b/runspool/engines/completions_client.py
@@ -145,7 +145,7 @@
                 head = await self._read_head(exchange)
                 result.load_report = wire.parse_load_report(head.headers.get(wire.LOAD_REPORT_HEADER))
                 text = await stream.read_first(exchange)
-                with self._watched_stream(timer) as wait:
+                with self._watched_stream(timer, exchange) as wait:
                     await self._forward_text(exchange, stream, text, wait, listener)
                 stream.check_finished()
                 await self._read_trailing_bytes(exchange)
@@ -212,17 +212,20 @@
             stream.started = True
             await listener.stream_started()
             await listener.data_received(text)
+        wait.waiting_since = self.now()
         while not stream.ended:
-            wait.waiting_since = self.now()
+            former_count = stream.event_count
             try:
                 text = await stream.read(exchange, FailureCause.STREAM_INTERRUPTED)
             except ExchangeAbortedError:
                 if stream.finished:  # the text is complete; only the last lines of the response are missing
                     return
                 raise
-            wait.waiting_since = 0
             if text:
+                wait.waiting_since = 0  # the client may take its time
                 await listener.data_received(text)
+            if stream.event_count > former_count:  # bytes that complete no event are no progress
+                wait.waiting_since = self.now()
 
     async def _read_trailing_bytes(self, exchange: Exchange) -> None:
         """Read the end of the response, so that the connection can be reused.
@@ -247,6 +250,7 @@
         started: Set by the caller immediately before the first text is forwarded.
         finished: True once the finish reason was received, which completes the text.
         ended: True once the end of the stream was received.
+        event_count: The number of events received.
     """
 
     def __init__(
@@ -259,6 +263,7 @@
         self.started = False
         self.finished = False
         self.ended = False
+        self.event_count = 0
         self._read_more = read_more
         self._result = result
         self._max_output_tokens = max_output_tokens
@@ -292,6 +297,7 @@
             if event == STREAM_END:
                 self.ended = True
                 break
+            self.event_count += 1
             self._read_event(event, texts)
         if self._result.output_tokens > self._max_output_tokens:
             raise ExchangeAbortedError(
--- a/runspool/engines/http_exchange.py
+++ b/runspool/engines/http_exchange.py
@@ -123,11 +123,12 @@
                 self.pool.discard(connection)
 
     @contextmanager
-    def _watched_stream(self, timer: ExchangeTimer) -> Iterator[WatchedWait]:
+    def _watched_stream(self, timer: ExchangeTimer, exchange: Exchange) -> Iterator[WatchedWait]:
         """Replace the exchange's time limit by the idle timeout while the body reads a started stream.
 
-        The body must set `waiting_since` of the yielded wait before each read, and reset it to 0 after the
-        read. A read that exceeds the timeout ends the exchange with the cause STREAM_INTERRUPTED.
+        The body must set `waiting_since` of the yielded wait whenever a part of the stream that its client
+        waits for has arrived; bytes alone are no progress. It must be 0 while the body waits for anything
+        else. A wait that exceeds the timeout ends the exchange with the cause STREAM_INTERRUPTED.
         """
         timer.remove_limit(FailureCause.STREAM_INTERRUPTED)
         wait = self.watchdog.watch(self.idle_timeout, timer.cancel)
@@ -135,6 +136,8 @@
             yield wait
         finally:
             self.watchdog.unwatch(wait)
+            if wait.timed_out:
+                self._limit_reached(PeerLimit.STREAM_IDLE_TIME, exchange)
 
     async def _send_request(
         self,
--- a/runspool/node/engine_client.py
+++ b/runspool/node/engine_client.py
@@ -15,6 +15,7 @@
 from runspool.engines.send_permit import SendPermit
 from runspool.node.event_stream import EventStreamParser, MalformedEventStreamError
 from runspool.node.request_parser import ClientRequest
+from runspool.peer_limits import PeerLimit
 from runspool.scheduling.types import AttemptStatus
 from runspool.units import TENTHS_PER_MS
 from runspool.wire.fields import JSON_DECODE_ERRORS
@@ -123,7 +124,7 @@
                 await self._send_request(exchange, timer, address, partial(_encode_request, request))
                 await self._read_head(exchange, STREAM_STATUS)
                 first_events = await self._read_first_events(exchange, events)
-                with self._watched_stream(timer) as wait:
+                with self._watched_stream(timer, exchange) as wait:
                     stream_started = True
                     await listener.stream_started()
                     await listener.data_received(first_events)
@@ -131,6 +132,8 @@
         except ExchangeAbortedError as error:
             result.record_failure(error.cause, error.detail, stream_started)
         except MalformedEventStreamError as error:
+            if error.limit is not None:
+                self._limit_reached(error.limit, exchange)
             result.record_failure(FailureCause.MALFORMED_RESPONSE, str(error), stream_started)
         result.cached_tokens = events.cached_tokens
         result.prompt_tokens = events.prompt_tokens
@@ -168,13 +171,23 @@
         return None
 
     async def _read_first_events(self, exchange: Exchange, events: EventStreamParser) -> bytes:
-        """Read until at least one event is complete, and return the bytes of the complete events."""
-        while not (data := events.feed(exchange.response.take_body())):
+        """Read until at least one event with data is complete, and return all bytes up to its end.
+
+        Comments and blank lines alone must not commit the node to a stream that may never have an event.
+        """
+        data = events.feed(exchange.response.take_body())
+        while not events.event_count:
+            if len(data) > self.settings.line_bytes:
+                self._limit_reached(PeerLimit.EVENT_BYTES, exchange)
+                raise ExchangeAbortedError(
+                    FailureCause.MALFORMED_RESPONSE, "the first event is preceded by too much else"
+                )
             if exchange.response.complete:
                 raise ExchangeAbortedError(
                     FailureCause.MALFORMED_RESPONSE, "the response ended without an event"
                 )
             await self._read_more(exchange, FailureCause.CLOSED_DURING_RESPONSE)
+            data += events.feed(exchange.response.take_body())
         # Raise before anything is forwarded, so that another engine can still provide the whole stream.
         _raise_parse_error(events)
         return data
@@ -186,10 +199,14 @@
         wait: WatchedWait,
         listener: ResponseListener[bytes],
     ) -> None:
-        """Forward all further events until the end of the response."""
+        """Forward all further events until the end of the response.
+
+        Only an event with data ends a wait. Other bytes may go on for ever, for example those of a chunk that
+        holds no event, of comments or of a trailer section.
+        """
         response = exchange.response
+        wait.waiting_since = self.now()
         while not response.complete:
-            wait.waiting_since = self.now()
             try:
                 await self._read_more(exchange, FailureCause.STREAM_INTERRUPTED)
             except ExchangeAbortedError:
@@ -197,12 +214,21 @@
                 if data := events.feed(response.take_body()):
                     await listener.data_received(data)
                 raise
-            wait.waiting_since = 0
+            former_count = events.event_count
             if data := events.feed(response.take_body()):
-                await listener.data_received(data)
+                await self._forward(data, wait, listener)
+            if events.event_count > former_count:
+                wait.waiting_since = self.now()
             _raise_parse_error(events)
         events.check_complete()
 
+    async def _forward(self, data: bytes, wait: WatchedWait, listener: ResponseListener[bytes]) -> None:
+        """Forward events; the time until the client takes them is not one of waiting for the engine."""
+        started, waiting_since = self.now(), wait.waiting_since
+        wait.waiting_since = 0
+        await listener.data_received(data)
+        wait.waiting_since = waiting_since + self.now() - started
+
 
 def _raise_parse_error(events: EventStreamParser) -> None:
     """Raise the error that the parser found after the events it returned last, if any."""
--- a/runspool/node/event_stream.py
+++ b/runspool/node/event_stream.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from runspool.errors import RunspoolError
+from runspool.peer_limits import PeerLimit
 from runspool.wire.fields import JSON_DECODE_ERRORS
 
 # The end of an event: the end of a line, followed by an empty line. A line ends with \n, \r\n or \r.
@@ -19,7 +20,15 @@
 
 
 class MalformedEventStreamError(RunspoolError):
-    """The received bytes are not a valid event stream."""
+    """The received bytes are not a valid event stream.
+
+    Attributes:
+        limit: The limit that was reached; None if the error is of another kind.
+    """
+
+    def __init__(self, message: str, limit: PeerLimit | None = None) -> None:
+        super().__init__(message)
+        self.limit = limit
 
 
 class _PromptTokensDetails(msgspec.Struct):
@@ -51,6 +60,7 @@
 
     Attributes:
         max_event_bytes: The maximum size of an event.
+        event_count: The number of events with data received so far, up to and including the final one.
         done: Whether the final event, "[DONE]", has been received.
         cached_tokens: The number of prompt tokens that were found in the engine's prefix cache.
         prompt_tokens: The number of prompt tokens.
@@ -61,6 +71,7 @@
 
     def __init__(self, max_event_bytes: int) -> None:
         self.max_event_bytes = max_event_bytes
+        self.event_count = 0
         self.done = False
         self.cached_tokens = 0
         self.prompt_tokens = 0
@@ -89,7 +100,9 @@
             complete_bytes = end.end()
         self._partial_event = pending[complete_bytes:]
         if len(self._partial_event) > self.max_event_bytes and self.error is None:
-            self.error = MalformedEventStreamError(f"an event is larger than {self.max_event_bytes} bytes")
+            self.error = MalformedEventStreamError(
+                f"an event is larger than {self.max_event_bytes} bytes", PeerLimit.EVENT_BYTES
+            )
             if not complete_bytes:
                 raise self.error
         return pending[:complete_bytes]
@@ -111,6 +124,7 @@
                 raise MalformedEventStreamError(f"not a line of an event: {line[:40]!r}")
 
     def _parse_data(self, data: bytes) -> None:
+        self.event_count += not self.done
         if data == b"[DONE]":
             self.done = True
             return
--- a/runspool/peer_limits.py
+++ b/runspool/peer_limits.py
@@ -34,6 +34,10 @@
     RESPONSE_HEAD_BYTES = "response_head_bytes"
     # Bytes of a response between parts of its body.
     RESPONSE_FRAMING_BYTES = "response_framing_bytes"
+    # Time without an event, or without a part of the text, of a stream that has started.
+    STREAM_IDLE_TIME = "stream_idle_time"
+    # Bytes of one event of a stream.
+    EVENT_BYTES = "event_bytes"
     # Bytes of the body of a response that is not a stream.
     RESPONSE_BODY_BYTES = "response_body_bytes"
 
--- a/tests/test_engine_streams.py
+++ b/tests/test_engine_streams.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.node_platform.client import post
+from tests.node_platform.engine import Script
 from tests.node_platform.http_messages import (
     COMPLETE_STREAM,
     EVENTS,
@@ -91,6 +92,94 @@
         assert not response.complete and len(platform.attempts("q1", "decode")) == 1
 
 
+# What an engine sends after the first event, what it then repeats, and the seconds between two pieces.
+DRIBBLED_REMAINDERS = {
+    "3 GB at the pace of events": (b"c0000000\r\n", b"x" * 40, 0.1),
+    "3 GB, a byte a second": (b"c0000000\r\n", b"x", 1.0),
+    "half an event in chunks": (b"", chunked(b"x"), 0.1),
+    "comments": (b"", chunked(b": still here\n\n"), 0.1),
+    "blank lines": (b"", chunked(b"\n\n"), 0.1),
+    "other fields": (b"", chunked(b"id: 1\n\n"), 0.1),
+    "repeated final event": (b"", chunked(b"data: [DONE]\n\n"), 0.1),
+    "events after the final one": (chunked(b"data: [DONE]\n\n"), chunked(EVENTS[0]), 0.1),
+    "extension": (b"5;a=", b"x" * 40, 0.1),
+    "trailer section": (b"0\r\nA: ", b"x" * 40, 0.1),
+}
+MAX_WAIT_AFTER_EVENT = (
+    5.05  # seconds that a client may be left waiting after an event, by the platform's page
+)
+
+
+# Any bytes counted as progress: clients waited for minutes for the end of a broken stream (review/3).
+async def test_a_stream_that_goes_on_without_events_ends_within_5_s(tmp_path: Path) -> None:
+    def dribbles(beginning: bytes, piece: bytes, interval: float) -> Script:
+        async def script(request: ReceivedRequest) -> None:
+            await request.send(STREAM_HEAD + chunked(EVENTS[0]) + beginning)
+            closed = asyncio.ensure_future(request.wait_until_closed())
+            while not closed.done():
+                await request.send(piece)
+                await asyncio.wait([closed], timeout=interval)
+
+        return script
+
+    async def seconds_until_end(platform: Platform, name: str) -> float:
+        loop, client = asyncio.get_running_loop(), await platform.client()
+        client.send(post(name, req_key="one"))
+        response = await client.read_head()
+        assert (await client.read_chunk()).startswith(EVENTS[0])
+        started = loop.time()
+        assert not (await client.read_body(response)).complete
+        return loop.time() - started
+
+    platform = Platform(tmp_path, PREFILL_AND_DECODE)
+    async with platform.open():
+        platform.engines["w"].scripts = [dribbles(*form) for form in DRIBBLED_REMAINDERS.values()]
+        waits = await asyncio.gather(
+            *(seconds_until_end(platform, f"q{index}") for index in range(len(DRIBBLED_REMAINDERS)))
+        )
+    assert len(waits) == len(DRIBBLED_REMAINDERS)
+    assert max(waits) <= MAX_WAIT_AFTER_EVENT
+
+
+# A response without its first event, which goes on at the pace of events: what it begins with and repeats.
+DRIBBLED_BEGINNINGS = {
+    "head": (b"HTTP/1.1 200 OK\r\nA: ", b"x" * 40),
+    "interim responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+    "chunk": (STREAM_HEAD + b"c0000000\r\n", b"x" * 40),
+    "blank lines": (STREAM_HEAD, chunked(b"\n")),
+    "error": (b"HTTP/1.1 500 No\r\nContent-Length: 999999\r\n\r\n", b"x" * 40),
+}
+REQUEST_TIME = 1.0  # seconds
+LATE_ALLOWED = 0.55  # seconds for an answer after its time, by the platform's page, with its slack
+
+
+@pytest.mark.parametrize("role", ["r", "w"])
+async def test_a_response_that_goes_on_without_its_first_event_leaves_the_request_its_answer(
+    role: str, tmp_path: Path
+) -> None:
+    def dribbles(beginning: bytes, piece: bytes) -> Script:
+        async def script(request: ReceivedRequest) -> None:
+            await request.send(beginning)
+            closed = asyncio.ensure_future(request.wait_until_closed())
+            while not closed.done():
+                await request.send(piece)
+                await asyncio.wait([closed], timeout=0.1)
+
+        return script
+
+    platform = Platform(tmp_path, PREFILL_AND_DECODE)
+    async with platform.open():
+        platform.engines[role].scripts = [dribbles(*form) for form in DRIBBLED_BEGINNINGS.values()]
+        async with asyncio.timeout(REQUEST_TIME + LATE_ALLOWED):
+            responses = await asyncio.gather(
+                *(
+                    platform.send_request(post(f"q{index}", "book", req_deadline="1000m", req_key="one"))
+                    for index in range(len(DRIBBLED_BEGINNINGS))
+                )
+            )
+    assert {response.status for response in responses} <= {200, 500, 503}
+
+
 STREAMS_WITH_EXTRA_BYTES = {
     "1xx": b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\n" + COMPLETE_STREAM,
     "report": COMPLETE_STREAM.replace(b"Content-Type", b"Srv-Load: \xff;;=,{\r\nContent-Type"),
--- a/tests/test_failure_classification.py
+++ b/tests/test_failure_classification.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import anyio
 import anyio.abc
@@ -350,3 +351,22 @@
     }
     assert set(STATUS_BY_CAUSE) == set(FailureCause)
     assert all(STATUS_BY_CAUSE[cause] in NOT_EXECUTED for cause in not_executed)
+
+
+# Any bytes counted as progress of a stream, so that one without events never ended (review/3).
+@pytest.mark.parametrize("piece", [b"4\r\nx: y\r\n", b"5\r\n: c\n\n\r\n"], ids=["no event", "comments"])
+@pytest.mark.anyio
+async def test_a_stream_that_goes_on_without_events_ends_at_the_idle_timeout(piece: bytes) -> None:
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        event = b'data: {"choices":[{"text":"a"}]}\n\n'
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        async with stream:
+            await stream.receive()
+            await stream.send(head + b"%x\r\n%b\r\n" % (len(event), event))
+            with suppress(anyio.BrokenResourceError):
+                while True:
+                    await stream.send(piece)
+                    await anyio.sleep(0.05)
+
+    result = await attempt_at(serve)
+    assert result.failure_cause is FailureCause.STREAM_INTERRUPTED
--- a/tests/test_watch_client.py
+++ b/tests/test_watch_client.py
@@ -93,3 +93,35 @@
         following.cancel()
         await asyncio.gather(following, return_exceptions=True)
         server.close()
+
+
+# Any bytes counted as a message: a service that sent blank lines for ever kept the front on an old list.
+async def test_a_watch_that_goes_on_without_messages_counts_as_lost() -> None:
+    second_watch = asyncio.Event()
+    connections: list[asyncio.Task[None] | None] = []
+    writers: list[asyncio.StreamWriter] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connections.append(asyncio.current_task())
+        writers.append(writer)
+        await read_request(reader)
+        if len(connections) > 1:
+            second_watch.set()
+        end = asyncio.ensure_future(reader.read())
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        writer.write(b"%x\r\n%b\r\n" % (len(LIST), LIST))
+        while not end.done():
+            writer.write(b"1\r\n\n\r\n")
+            await asyncio.wait([end], timeout=QUIET_MS / 5_000)
+
+    server = await asyncio.start_server(serve, HOST, 0)
+    following = asyncio.ensure_future(watch_client(server, asyncio.Event()).follow())
+    try:
+        await asyncio.wait_for(second_watch.wait(), WAIT_TIMEOUT)
+    finally:
+        following.cancel()
+        for writer in writers:
+            writer.transport.abort()
+        await asyncio.gather(following, *filter(None, connections), return_exceptions=True)
+        server.close()
+        await asyncio.sleep(0)  # the event loop closes aborted transports in its next iteration
