--- a/tests/test_engine_streams.py
+++ b/tests/test_engine_streams.py
@@ -105,23 +105,24 @@
     "extension": (b"5;a=", b"x" * 40, 0.1),
     "trailer section": (b"0\r\nA: ", b"x" * 40, 0.1),
 }
-MAX_WAIT_AFTER_EVENT = (
-    5.05  # seconds that a client may be left waiting after an event, by the platform's page
-)
+MAX_WAIT_AFTER_EVENT = 5.05  # seconds for which a client may wait after an event, by the platform's page
 
 
-# Any bytes counted as progress: clients waited for minutes for the end of a broken stream (review/3).
-async def test_a_stream_that_goes_on_without_events_ends_within_5_s(tmp_path: Path) -> None:
-    def dribbles(beginning: bytes, piece: bytes, interval: float) -> Script:
-        async def script(request: ReceivedRequest) -> None:
-            await request.send(STREAM_HEAD + chunked(EVENTS[0]) + beginning)
-            closed = asyncio.ensure_future(request.wait_until_closed())
-            while not closed.done():
-                await request.send(piece)
-                await asyncio.wait([closed], timeout=interval)
+def dribbles(beginning: bytes, piece: bytes, interval: float = 0.1) -> Script:
+    """Return a script that repeats a piece after a beginning until the node closes the connection."""
+
+    async def script(request: ReceivedRequest) -> None:
+        await request.send(beginning)
+        closed = asyncio.ensure_future(request.wait_until_closed())
+        while not closed.done():
+            await request.send(piece)
+            await asyncio.wait([closed], timeout=interval)
+
+    return script
 
-        return script
 
+# Any bytes counted as progress: clients waited for minutes for the end of a broken stream (review/3).
+async def test_a_stream_that_goes_on_without_events_ends_within_5_s(tmp_path: Path) -> None:
     async def seconds_until_end(platform: Platform, name: str) -> float:
         loop, client = asyncio.get_running_loop(), await platform.client()
         client.send(post(name, req_key="one"))
@@ -133,7 +134,10 @@
 
     platform = Platform(tmp_path, PREFILL_AND_DECODE)
     async with platform.open():
-        platform.engines["w"].scripts = [dribbles(*form) for form in DRIBBLED_REMAINDERS.values()]
+        platform.engines["w"].scripts = [
+            dribbles(STREAM_HEAD + chunked(EVENTS[0]) + beginning, piece, interval)
+            for beginning, piece, interval in DRIBBLED_REMAINDERS.values()
+        ]
         waits = await asyncio.gather(
             *(seconds_until_end(platform, f"q{index}") for index in range(len(DRIBBLED_REMAINDERS)))
         )
@@ -157,16 +161,6 @@
 async def test_a_response_that_goes_on_without_its_first_event_leaves_the_request_its_answer(
     role: str, tmp_path: Path
 ) -> None:
-    def dribbles(beginning: bytes, piece: bytes) -> Script:
-        async def script(request: ReceivedRequest) -> None:
-            await request.send(beginning)
-            closed = asyncio.ensure_future(request.wait_until_closed())
-            while not closed.done():
-                await request.send(piece)
-                await asyncio.wait([closed], timeout=0.1)
-
-        return script
-
     platform = Platform(tmp_path, PREFILL_AND_DECODE)
     async with platform.open():
         platform.engines[role].scripts = [dribbles(*form) for form in DRIBBLED_BEGINNINGS.values()]
