--- a/review/peers2.py
+++ b/review/peers2.py
@@ -28,6 +28,7 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
+MAX_RECORDED_ENTRIES = 20  # entries of a list that are recorded
 BOTH_EFFECTS = (("staff-ask", "idempotent", 6.0), ("payout-close", "at_most_once", 15.0))
 
 
@@ -356,14 +357,15 @@
                                 int(wanted["wait_ms"]) / 1000,
                             )
                 body = self.message(after)
+                writer.write(response(200, body))
+                entries = json.loads(body)["endpoints"][:MAX_RECORDED_ENTRIES]
                 self.fleet.record.add(
                     "told",
                     agent=self.name,
                     index=self.index,
                     whole=after is None,
-                    states=",".join(f"{e['name']}:{e['status']}" for e in json.loads(body)["endpoints"]),
+                    states=",".join(f"{entry['name']}:{entry['status']}" for entry in entries),
                 )
-                writer.write(response(200, body))
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
