--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,82 +1,88 @@
-"""A new configuration moves discovery while a writer drains; lists come late at the new address."""
+"""An engine is slow for a while, and an answer says the same few tokens several times on end."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from peers2 import TROUBLE, Agent, CannotRunError, Fleet, Node, Record, ask, play, settings
+from peers2 import (
+    BOTH_EFFECTS,
+    TROUBLE,
+    Agent,
+    CannotRunError,
+    Fleet,
+    Node,
+    Record,
+    ask,
+    ending,
+    play,
+    settings,
+    text_event,
+)
 
-REQUESTS = 70
-INTERVAL = 0.1  # seconds between two requests
-DRAIN_AT = 1.5  # seconds from the first request
-RELOAD_AT = 2.5
-OLD_CLOSES = 1.5  # seconds from SIGHUP until the old address closes its connections
-LATE = 4.0  # seconds from the change until the new address has it; the site's file says 1.3 to 4.9
-GRACE = 0.25 + 0.05 + 0.15  # the rule's, that of sockets, and the time for which a node may be held up
-DRAINS = "s-4"
+EVENT_TIME = 0.24  # seconds between two events: four tokens of 60 ms each
+SLOWNESS = 7.0  # the pages say 2 to 10 times slower, for 10 to 35 s
+SAME_EVENTS = 5  # events on end with the same text
+LONGEST_GAP = 5.0  # seconds between two events from which on a stream may be ended
+
+
+def answer(request: str) -> list[bytes]:
+    """Return an answer with a table in it, whose rule is the same four tokens again and again."""
+    before = [text_event(f"{request} share {index}\n") for index in range(2)]
+    rule = [text_event("--- | --- | ")] * SAME_EVENTS
+    after = [text_event(f"\n{index}. waiter | 120 zl") for index in range(2)]
+    return before + rule + after + ending(4 * (len(before) + len(rule) + len(after)))
 
 
 async def case(record: Record, work: Path) -> list[str]:
-    """Play the case; return the requests sent to the draining engine after the grace."""
-    kinds = {"s-1": "prefill", "s-2": "prefill", "s-3": "prefill", "s-4": "decode", "s-5": "decode"}
+    """Play the case; return the streams that were cut off while their events were coming."""
+    kinds = {"s-1": "prefill", "s-2": "prefill", "s-3": "decode", "s-4": "decode"}
     fleet = Fleet(record, kinds)
+    for name, engine in fleet.engines.items():
+        engine.event_time, engine.answer = EVENT_TIME, answer
+        if TROUBLE and name == "s-3":
+            engine.slowness = SLOWNESS
     await fleet.start()
-    old, new = Agent(fleet, "old"), Agent(fleet, "new")
-    node = Node(record, work, settings())
-    for agent in (old, new):
-        await agent.start()
-        await agent.receive(fleet.index, fleet.entries())
+    agent, node = Agent(fleet, "agent"), Node(record, work, settings(BOTH_EFFECTS, resume=False))
+    await agent.start()
+    await agent.receive(fleet.index, fleet.entries())
     try:
-        await node.start(old, fleet.entries(), fleet.index)
-        moving = asyncio.ensure_future(move(fleet, node, old, new))
+        await node.start(agent, fleet.entries(), fleet.index)
         asking = []
-        for number in range(REQUESTS):
-            asking.append(asyncio.ensure_future(ask(fleet, node, f"q{number}", "staff-ask", 6_000)))
-            await asyncio.sleep(INTERVAL)
+        for number in range(8):
+            kind = "payout-close" if number % 2 else "staff-ask"
+            asking.append(asyncio.ensure_future(ask(fleet, node, f"q{number}", kind, 6_000)))
+            await asyncio.sleep(0.2)
         answers = await asyncio.gather(*asking)
-        await moving
     finally:
         await node.end()
-    if sum(answer.status == 200 and answer.whole for answer in answers) < REQUESTS // 2:
-        raise CannotRunError("little was served")
-    told = [event for event in record.all("told", agent="old") if f"{DRAINS}:leaving" in event["states"]]
-    if not told or not record.all("told", agent="new"):
-        raise CannotRunError("the node has not asked one of the two addresses")
-    until = told[0]["t"] + GRACE
-    return [
-        f"{event['request']} arrived at {DRAINS} {event['t'] - told[0]['t']:.2f} s after the node was told of"
-        f" its drain (version {told[0]['index']})"
-        for event in record.all("arrived", engine=DRAINS)
-        if event["t"] > until
-    ]
+    breaks = []
+    for number, got in enumerate(answers):
+        request = f"q{number}"
+        if got.status == 200 and not got.whole and (text := cut_off(record, request, got.body)):
+            breaks.append(text)
+    if not breaks and not all(got.status == 200 and got.whole for got in answers):
+        raise CannotRunError("not all was served, for another reason")
+    return breaks
 
 
-async def move(fleet: Fleet, node: Node, old: Agent, new: Agent) -> None:
-    """Drain an engine, then move discovery to another address."""
-    await asyncio.sleep(DRAIN_AT)
-    fleet.status[DRAINS] = "leaving"
-    fleet.index += 1
-    changed = [fleet.entry(DRAINS)]
-    fleet.record.add("drain", engine=DRAINS, index=fleet.index)
-    await old.receive(fleet.index, changed)
-    if not TROUBLE:
-        await new.receive(fleet.index, changed)
-    await asyncio.sleep(RELOAD_AT - DRAIN_AT)
-    node.write_config(new, fleet.entries(), fleet.index, 192)
-    assert old.server is not None
-    old.server.close()
-    node.signal(signal.SIGHUP)
-    await asyncio.sleep(OLD_CLOSES)
-    old.close_connections()
-    await asyncio.sleep(DRAIN_AT + LATE - RELOAD_AT - OLD_CLOSES)
-    if TROUBLE:
-        await new.receive(fleet.index, changed)
-        fleet.record.add("new_address_has_it", index=fleet.index)
+def cut_off(record: Record, request: str, body: bytes) -> str:
+    """Return how a stream was cut off whose engine went on writing; empty if it was not so."""
+    ended = record.all("answered", request=request)[0]["t"]
+    times = [event["t"] for event in record.all("event", request=request)]
+    before = [at for at in times if at <= ended]
+    gap = max(later - earlier for earlier, later in zip(before, [*before[1:], ended], strict=True))
+    if gap >= LONGEST_GAP:
+        return ""
+    rest = len(answer(request)) - len(before)
+    return (
+        f"{request}: the client's connection ended at {ended:.3f} s without the last chunk,"
+        f" {ended - before[-1]:.2f} s after the last of {len(before)} events, with {rest} still to come;"
+        f" the longest gap was {gap:.2f} s ({body.count(b'data:')} events reached the client)"
+    )
 
 
 play(Path(__file__).resolve().parent, case)
