--- a/review/peers2.py
+++ b/review/peers2.py
@@ -412,8 +412,11 @@
 class Node:
     """A real front node, as a process of its own, started as the platform starts it."""
 
-    def __init__(self, record: Record, folder: Path, node_settings: dict[str, Any]) -> None:
+    def __init__(
+        self, record: Record, folder: Path, node_settings: dict[str, Any], sockets: int = 512
+    ) -> None:
         self.record, self.folder, self.settings = record, folder, node_settings
+        self.sockets = sockets
         with socket.socket() as probe:
             probe.bind((HOST, 0))
             self.port = probe.getsockname()[1]
@@ -427,7 +430,7 @@
             "listen": f"{HOST}:{self.port}",
             "discovery": f"{HOST}:{agent.port}",
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 512},
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": self.sockets},
             "known": {"index": index, "snapshot": True, "endpoints": known},
             "settings": self.settings,
         }
