A request's body and its charge are given back together, also when the request is refused

Cause: HttpConnection._serve_one caught the error and answered within the `except` block, and lingered there for up to 1 s. The error's traceback, and that of its context (`raise ... from None` hides it, it does not remove it), refer to the frames that hold the body, while the request's charge had been given back before. So as many new requests were let in. The same after an answer: a request's record lives on while no engine confirms the release of its state, and kept the body without a charge.

Change: a body and its charge are one object (ChargedBody). Attempts, release calls and tracebacks refer to the object, and its owner, the connection, gives up bytes and charge in one step. A refusal is a small value (HttpRefusal) made where the error is caught; nothing is awaited there any more, in the node's handler and in the front's. The parser and the connection store such values in place of errors. An attempt whose request has its answer already may not send its first byte: its body may be gone.

--- a/runspool/node/engine_client.py
+++ b/runspool/node/engine_client.py
@@ -278,5 +278,5 @@
             "Req-Id": request.id,
             "Req-Deadline": f"{max(1, remaining) * 1000 // TENTHS_PER_MS}u",
         },
-        request.body,
+        request.body.data,
     )
--- a/runspool/node/request_handler.py
+++ b/runspool/node/request_handler.py
@@ -10,7 +10,7 @@
 import structlog
 
 from runspool.limits.peer_limits import PeerLimit
-from runspool.node.executor import NodeExecutor
+from runspool.node.executor import NodeExecutor, PendingNodeRequest
 from runspool.node.request_parser import parse_client_request
 from runspool.scheduling.request_lifecycle import InvariantViolation
 from runspool.service.clock import now
@@ -22,6 +22,7 @@
 from runspool.wire.fields import InvalidRequestError
 from runspool.wire.http_requests import (
     LAST_CHUNK,
+    HttpRefusal,
     HttpRequest,
     InvalidHttpRequestError,
     encode_chunk,
@@ -198,6 +199,12 @@
             InvalidHttpRequestError: The request is invalid.
         """
         self.response_started = False
+        fault = await self._route_or_report(request, received_at)
+        if fault:
+            await self._respond_to_internal_error(fault)
+
+    async def _route_or_report(self, request: HttpRequest, received_at: int) -> str:
+        """Respond to a request; log an internal error and return its description, otherwise return ""."""
         try:
             await self._route(request, received_at)
         except (ConnectionClosedError, TimeoutError, InvalidHttpRequestError):
@@ -205,12 +212,14 @@
         except Exception as error:  # every request that has been read must get a response
             logger = structlog.get_logger()
             logger.exception("client_failed", fault=repr(error))
-            await self._respond_to_internal_error(error)
+            return repr(error)
+        return ""
 
-    async def _respond_to_internal_error(self, error: Exception) -> None:
+    async def _respond_to_internal_error(self, fault: str) -> None:
         if self.response_started:
-            self.executor.invariants.record(InvariantViolation.CLOSED_UNANSWERED, reason=repr(error))
-            raise ConnectionClosedError("an internal error occurred after the response had started") from None
+            self.executor.invariants.record(InvariantViolation.CLOSED_UNANSWERED, reason=fault)
+            raise ConnectionClosedError("an internal error occurred after the response had started")
+        self.release_body()
         self.keeps_alive = False
         await self.send_response(
             INDETERMINATE_STATUS, self.error_body("fault", "nothing is promised: it may or may not have run")
@@ -231,27 +240,44 @@
         if self.tcp.has_peer_left():
             self.executor.counts["clients_left_early"] += 1
             raise ConnectionClosedError("the client has closed the connection behind its request")
+        streaming = EventStreamResponse(self)
+        submitted = self._submit(request, streaming, received_at)
+        if isinstance(submitted, FinalResponse):
+            final = submitted
+        else:
+            self.has_accepted_request = True
+            final = await self.wait_for_final_response(self.executor, submitted, streaming)
+        self.release_body()
+        await self._send_final(streaming, final)
+
+    def _submit(
+        self, request: HttpRequest, streaming: EventStreamResponse, received_at: int
+    ) -> PendingNodeRequest | FinalResponse:
+        """Parse a request and submit it to the executor.
+
+        Returns:
+            The accepted request, or the rejection of a valid one.
+
+        Raises:
+            InvalidHttpRequestError: The request is invalid, and the connection must be closed. A client that
+                keeps sending invalid requests is slowed down because it needs a new connection for each.
+        """
         try:
             client_request = parse_client_request(
-                request.target, request.headers, request.take_body(), self.executor.platform_settings
+                request.target, request.headers, self.take_body(request), self.executor.platform_settings
             )
             if request.version == "1.0":
                 raise InvalidRequestError("version", "an answer in parts needs HTTP/1.1", 505)
             if not self.holds_open_request():
                 self.limit_monitor.reached(PeerLimit.MEMORY, code="memory", **self.memory.details())
                 raise RequestNotAcceptedError("memory", "this server holds too many requests; ask again")
-            streaming = EventStreamResponse(self)
-            pending = self.executor.submit(client_request, streaming, received_at)
+            return self.executor.submit(client_request, streaming, received_at)
         except InvalidRequestError as error:
-            # Raising this error closes the connection. A client that keeps sending invalid requests is slowed
-            # down because it needs a new connection for each.
-            raise InvalidHttpRequestError(error.status, "misworded", str(error)) from None
+            refusal = HttpRefusal(error.status, "misworded", str(error))
         except RequestNotAcceptedError as rejection:
-            await self.send_response(REJECTED_STATUS, self.error_body(rejection.code, rejection.message))
-            return
-        self.has_accepted_request = True
-        final = await self.wait_for_final_response(self.executor, pending, streaming)
-        await self._send_final(streaming, final)
+            return FinalResponse(ResponseKind.REJECTED, rejection.code, rejection.message)
+        # Raised outside the handler, so that the first error is not the context of this one.
+        raise InvalidHttpRequestError(refusal)
 
     async def _send_final(self, streaming: EventStreamResponse, final: FinalResponse) -> None:
         if final.kind is ResponseKind.CLIENT_DISCONNECTED:
@@ -271,8 +297,8 @@
             await self.send_response(INDETERMINATE_STATUS, self.error_body(final.code, final.message))
 
 
-def _no_room() -> InvalidHttpRequestError:
-    return InvalidHttpRequestError(
+def _no_room() -> HttpRefusal:
+    return HttpRefusal(
         503, "connections", "this server has no room for incomplete requests; ask again", PeerLimit.CLIENTS
     )
 
--- a/runspool/node/request_parser.py
+++ b/runspool/node/request_parser.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from runspool.limits.charged_body import ChargedBody
 from runspool.runtime.interning import stable_hash
 from runspool.runtime.platform_settings import US_PER_TENTH_MS, PlatformSettings
 from runspool.scheduling.types import Request
@@ -32,7 +33,7 @@
     Attributes:
         id: The id of the request, as given by the client.
         target: The target of the HTTP request.
-        body: The body, a JSON object whose content is not examined.
+        body: The body, a JSON object whose content is not examined; it is released when the request ends.
         request_class: The index of the request class in the routing settings.
         tenant: The index of the tenant in the routing settings; None if the request has none.
         session: The name of the session; None if there is none.
@@ -48,7 +49,7 @@
 
     id: str
     target: str
-    body: bytes
+    body: ChargedBody
     request_class: int
     tenant: int | None
     session: str | None
@@ -89,7 +90,7 @@
 
 
 def parse_client_request(
-    target: bytes, headers: Mapping[str, str], body: bytes, settings: PlatformSettings
+    target: bytes, headers: Mapping[str, str], body: ChargedBody, settings: PlatformSettings
 ) -> ClientRequest:
     """Parse a request and validate it against the platform's settings.
 
@@ -107,11 +108,11 @@
         raise InvalidRequestError("Req-Id", "missing or no id")
     request_class = _parse_request_class(headers.get("req-kind"), settings)
     tenant = _parse_tenant(headers.get("req-owner"), settings)
-    _check_body(body)
+    _check_body(body.data)
     extras = _parse_extras(headers.get("req-extra", ""))
     max_tokens = _max_prompt_tokens(settings)
     prompt_tokens = _parse_token_count(
-        extras, "prompt_len", max(1, len(body) // BYTES_PER_TOKEN), 1, max_tokens
+        extras, "prompt_len", max(1, len(body.data) // BYTES_PER_TOKEN), 1, max_tokens
     )
     prefix = extras.get("prefix") or None
     retry = headers.get("req-retry", "0")
--- a/runspool/service/attempt_permit.py
+++ b/runspool/service/attempt_permit.py
@@ -29,9 +29,11 @@
     def deny_first_byte(self) -> str | None:
         """Return why the request may not be sent, or None if it may.
 
-        Sending is denied if the client has left, or if the endpoint list has withdrawn the engine while the
-        attempt was connecting.
+        Sending is denied if the request has been answered or the client has left, or if the endpoint list has
+        withdrawn the engine while the attempt was connecting.
         """
+        if self.pending.final_response is not None:
+            return DenialReason.ALREADY_ANSWERED.value
         if self.pending.has_client_left():
             self.pending.lifecycle.mark_client_disconnected()
             return DenialReason.CLIENT_DISCONNECTED.value
--- a/runspool/service/completions_handler.py
+++ b/runspool/service/completions_handler.py
@@ -8,6 +8,7 @@
 import math
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import anyio
 import msgspec
@@ -21,6 +22,7 @@
 from runspool.transport.tcp import ConnectionClosedError, TcpConnection
 from runspool.units import TENTHS_PER_MS
 from runspool.wire import completions as wire
+from runspool.wire.completions import CompletionRequest
 from runspool.wire.fields import InvalidRequestError
 from runspool.wire.http_requests import LAST_CHUNK, HttpRequest, encode_chunk, encode_response_head
 
@@ -30,6 +32,15 @@
 INDETERMINATE_STATUS = 424
 
 
+@dataclass(frozen=True, slots=True)
+class _InvalidField:
+    """A request's field that is invalid or missing, and the error response to it."""
+
+    status: int
+    name: str
+    message: str
+
+
 class CompletionsHandler(HttpConnection):
     """Serves the front's HTTP endpoints on one client connection."""
 
@@ -87,6 +98,22 @@
         return {"object": "list", "data": [model]}
 
     async def _serve_completion(self, request: HttpRequest, received_at: int) -> None:
+        completion = self._parse_completion(request)
+        if isinstance(completion, _InvalidField):
+            await self.send_response(completion.status, self.error_body(completion.name, completion.message))
+            return
+        response = _EventStreamResponse(self) if completion.stream else _BufferedResponse()
+        pending = self._submit(completion, response, received_at)
+        if isinstance(pending, FinalResponse):
+            await self._send_not_accepted(pending)
+            return
+        response.request_id = pending.id
+        stream = response if isinstance(response, _EventStreamResponse) else None
+        final = await self.wait_for_final_response(self.front, pending, stream)
+        await self._send_final_response(pending, response, final)
+
+    def _parse_completion(self, request: HttpRequest) -> CompletionRequest | _InvalidField:
+        """Parse a request. Nothing is sent here, as the traceback of an error refers to the body."""
         try:
             completion = wire.parse_completion_request(
                 request.headers, request.take_body(), self.front.config
@@ -94,30 +121,32 @@
             if completion.stream and request.version == "1.0":
                 raise InvalidRequestError("stream", "an answer in parts needs HTTP/1.1", 505)
         except InvalidRequestError as error:
-            await self.send_response(error.status, self.error_body(error.field_name, str(error)))
-            return
-        response = _EventStreamResponse(self) if completion.stream else _BufferedResponse()
+            return _InvalidField(error.status, error.field_name, str(error))
+        return completion
+
+    def _submit(
+        self,
+        completion: CompletionRequest,
+        response: _EventStreamResponse | _BufferedResponse,
+        received_at: int,
+    ) -> PendingCompletion | FinalResponse:
+        """Submit a request to the front; return the accepted request, or the final response without one."""
         try:
-            pending = self.front.submit(completion, response, received_at)
+            return self.front.submit(completion, response, received_at)
         except RequestNotAcceptedError as refusal:
-            await self._send_not_accepted(refusal)
-            return
-        response.request_id = pending.id
-        stream = response if isinstance(response, _EventStreamResponse) else None
-        final = await self.wait_for_final_response(self.front, pending, stream)
-        await self._send_final_response(pending, response, final)
+            return FinalResponse(refusal.kind, refusal.code, refusal.message)
 
-    async def _send_not_accepted(self, error: RequestNotAcceptedError) -> None:
-        if error.kind is ResponseKind.INDETERMINATE:
+    async def _send_not_accepted(self, final: FinalResponse) -> None:
+        if final.kind is ResponseKind.INDETERMINATE:
             await self.send_response(
                 INDETERMINATE_STATUS,
-                wire.error_body("scrapped", error.code, error.message),
+                wire.error_body("scrapped", final.code, final.message),
                 [("X-Should-Retry", "false")],
             )
             return
         await self.send_response(
             REJECTED_STATUS,
-            wire.error_body("dismissed", error.code, error.message),
+            wire.error_body("dismissed", final.code, final.message),
             [("Retry-After", "1"), ("X-Should-Retry", "true")],
         )
 
--- a/runspool/service/http_connection.py
+++ b/runspool/service/http_connection.py
@@ -13,6 +13,7 @@
 import anyio
 import structlog
 
+from runspool.limits.charged_body import ChargedBody
 from runspool.limits.connection_resources import ConnectionResources
 from runspool.limits.memory_account import OPEN_REQUEST_BYTES, MemoryKind
 from runspool.limits.peer_limits import PeerLimit
@@ -25,6 +26,7 @@
 from runspool.units import TENTHS_PER_SECOND
 from runspool.wire.http_requests import (
     CONTINUE_RESPONSE,
+    HttpRefusal,
     HttpRequest,
     HttpRequestParser,
     InvalidHttpRequestError,
@@ -134,8 +136,9 @@
         self._head_started = False  # whether a part of that head has been read
         self._body_scope: anyio.CancelScope | None = None  # set while waiting for the rest of a body
         # The response to the incomplete request if it is not its client's fault that the wait for it ends.
-        self._refusal: InvalidHttpRequestError | None = None
+        self._refusal: HttpRefusal | None = None
         self._request_charge = resources.memory.charge(MemoryKind.REQUEST)
+        self._open_body: ChargedBody | None = None  # of the request that is being served, once it is taken
         self._open_response: OpenResponse | None = None  # set while a request waits for its final response
         self._linger_scope: anyio.CancelScope | None = None  # set while input is discarded after a refusal
         self._lingers = True  # whether input is discarded after a refusal
@@ -213,7 +216,7 @@
     def reclaimable_bytes(self) -> int:
         """The memory, in bytes, that give_up_memory() would free now."""
         if self._reads_too_slowly():
-            return self.tcp.buffered_memory + self._request_charge.size + self._blocked_bytes
+            return self.tcp.buffered_memory + self._open_request_bytes + self._blocked_bytes
         if self._open_response is not None:
             return self.tcp.buffered_memory
         return self.tcp.buffered_memory + self._request_charge.size if self.waits_for_client else 0
@@ -243,10 +246,31 @@
         self._request_charge.set(self._request_charge.size + OPEN_REQUEST_BYTES)
         return not self.memory.is_exceeded
 
+    def take_body(self, request: HttpRequest) -> ChargedBody:
+        """Take the body of the request that is being served, with its part of the request's charge.
+
+        It is released when the request has been served, if not earlier.
+        """
+        body = request.take_body()
+        self._open_body = ChargedBody(body, self._request_charge.split(len(body)))
+        return self._open_body
+
+    def release_body(self) -> None:
+        """Give up the body of the request that is being served, if it has been taken, with its charge."""
+        if self._open_body is not None:
+            self._open_body.release()
+            self._open_body = None
+
+    @property
+    def _open_request_bytes(self) -> int:
+        """The memory that is charged for the request that is being served, in bytes."""
+        body_bytes = self._open_body.charged_bytes if self._open_body is not None else 0
+        return self._request_charge.size + body_bytes
+
     def _reads_too_slowly(self) -> bool:
         return 0 < self.blocked_since < now() - SLOW_READER_TIME
 
-    def refuse_part(self, refusal: InvalidHttpRequestError, lingers: bool = True) -> None:
+    def refuse_part(self, refusal: HttpRefusal, lingers: bool = True) -> None:
         """Refuse a request of which only a part has been received, whatever else has arrived.
 
         Args:
@@ -294,6 +318,7 @@
     def disconnect_reader(self) -> None:
         """End the response to a client that does not take it."""
         if self._open_response is not None:
+            self.release_body()
             self._request_charge.release()
             self._open_response.disconnect()
             self.tcp.close()
@@ -319,33 +344,48 @@
             return
         finally:
             self.memory.remove_holder(self)
+            self.release_body()
             self._request_charge.release()
             self.parser.close()
             # These refer back to this object, and would be left to the garbage collector with all it holds.
-            self._refusal = self._head_scope = self._body_scope = self._linger_scope = None
+            self._head_scope = self._body_scope = self._linger_scope = None
 
     def _has_buffered_request(self) -> bool:
         return bool(self.parser.ready) or self.tcp.has_buffered_data
 
     async def _serve_one(self) -> None:
+        refusal = await self._answer_or_refuse()
+        if refusal is not None:
+            await self._refuse(refusal)
+
+    async def _answer_or_refuse(self) -> HttpRefusal | None:
+        """Serve the next request, or return the refusal of an invalid or incomplete one.
+
+        The error ends here, before the refusal is sent: its traceback refers to the request.
+        """
         try:
-            request = await self._read_head()
-            if request is None:
-                self.keeps_alive = False
-                return
-            received_at = now() - int(self.tcp.input_age() * TENTHS_PER_SECOND)
-            self._count_active(1)
-            try:
-                await self._read_body(request)
-                self.parser.ready.popleft()
-                self.keeps_alive = request.keeps_alive
-                await self.work_turns.take(self)
-                await self.route(request, received_at)
-            finally:
-                self._request_charge.set(self.parser.held_bytes)
-                self._count_active(-1)
+            await self._read_and_route()
         except InvalidHttpRequestError as error:
-            await self._refuse(error)
+            return error.refusal
+        return None
+
+    async def _read_and_route(self) -> None:
+        request = await self._read_head()
+        if request is None:
+            self.keeps_alive = False
+            return
+        received_at = now() - int(self.tcp.input_age() * TENTHS_PER_SECOND)
+        self._count_active(1)
+        try:
+            await self._read_body(request)
+            self.parser.ready.popleft()
+            self.keeps_alive = request.keeps_alive
+            await self.work_turns.take(self)
+            await self.route(request, received_at)
+        finally:
+            self.release_body()
+            self._request_charge.set(self.parser.held_bytes)
+            self._count_active(-1)
 
     async def _read_head(self) -> HttpRequest | None:
         """Return the next request once its head is complete, or None if the connection ends without one."""
@@ -364,7 +404,7 @@
                         await self._parse_more()
                     except ConnectionClosedError:
                         if self._head_started:
-                            raise self._refusal or _ends_early("head") from None
+                            raise InvalidHttpRequestError(self._refusal or _ends_early("head")) from None
                         return None
                     if not self._head_started:
                         self._head_started, scope.deadline = True, self._deadline_after(self.limits.head_ms)
@@ -372,8 +412,11 @@
                 self._head_scope = None
         if scope.cancelled_caught:
             if self._head_started:
-                raise self._incomplete_request_error(
-                    "head_time", "the request's head took too long", PeerLimit.REQUEST_HEAD_TIME
+                raise InvalidHttpRequestError(
+                    self._refusal
+                    or HttpRefusal(
+                        408, "head_time", "the request's head took too long", PeerLimit.REQUEST_HEAD_TIME
+                    )
                 )
             # A request may have arrived just as the wait ended. It was received, so it must be answered.
             return await self._read_head() if self.tcp.has_buffered_data else None
@@ -409,17 +452,15 @@
                     try:
                         await self._parse_more()
                     except ConnectionClosedError:
-                        raise self._refusal or _ends_early("body") from None
+                        raise InvalidHttpRequestError(self._refusal or _ends_early("body")) from None
                 return
             finally:
                 self._body_scope = None
-        raise self._incomplete_request_error(
-            "body_time", "the body took too long", PeerLimit.REQUEST_BODY_TIME
+        raise InvalidHttpRequestError(
+            self._refusal
+            or HttpRefusal(408, "body_time", "the body took too long", PeerLimit.REQUEST_BODY_TIME)
         )
 
-    def _incomplete_request_error(self, code: str, message: str, limit: PeerLimit) -> InvalidHttpRequestError:
-        return self._refusal or InvalidHttpRequestError(408, code, message, limit)
-
     async def send_response(
         self, status: int, body: bytes, headers: list[tuple[str, str]] | None = None
     ) -> None:
@@ -429,16 +470,16 @@
             fields.append(("Connection", "close"))
         await self.send(encode_response_head(status, fields) + body)
 
-    async def _refuse(self, error: InvalidHttpRequestError) -> None:
+    async def _refuse(self, refusal: HttpRefusal) -> None:
         """Respond to an invalid or incomplete request; the connection closes afterwards."""
-        structlog.get_logger().debug("request_refused", status=error.status, code=error.code)
-        if error.limit is not None:
-            self.limit_monitor.reached(error.limit, code=error.code, message=error.message)
+        structlog.get_logger().debug("request_refused", status=refusal.status, code=refusal.code)
+        if refusal.limit is not None:
+            self.limit_monitor.reached(refusal.limit, code=refusal.code, message=refusal.message)
         self.parser.discard_requests()
         self._request_charge.release()
         self.tcp.discard_input()
         self.keeps_alive = False
-        await self.send_response(error.status, self.error_body(error.code, error.message))
+        await self.send_response(refusal.status, self.error_body(refusal.code, refusal.message))
         if not self._lingers:
             return
         with anyio.move_on_after(LINGER_SECONDS) as self._linger_scope:
@@ -491,15 +532,15 @@
         return pending.final_response
 
 
-def _ends_early(part: str) -> InvalidHttpRequestError:
-    return InvalidHttpRequestError(400, "malformed", f"the {part} ends early")
+def _ends_early(part: str) -> HttpRefusal:
+    return HttpRefusal(400, "malformed", f"the {part} ends early")
 
 
-def _refused_at_shutdown() -> InvalidHttpRequestError:
-    return InvalidHttpRequestError(503, "closing", "this server is stopping; ask another")
+def _refused_at_shutdown() -> HttpRefusal:
+    return HttpRefusal(503, "closing", "this server is stopping; ask another")
 
 
-def _refused_for_memory() -> InvalidHttpRequestError:
-    return InvalidHttpRequestError(
+def _refused_for_memory() -> HttpRefusal:
+    return HttpRefusal(
         503, "memory", "this server holds too many large requests; ask again", PeerLimit.MEMORY
     )
--- a/runspool/wire/http_requests.py
+++ b/runspool/wire/http_requests.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 from http import HTTPStatus
 
 import httptools
@@ -23,22 +24,47 @@
 LAST_CHUNK = b"0\r\n\r\n"  # last chunk of a chunked body
 
 
-class InvalidHttpRequestError(RunspoolError):
-    """Received bytes are not a valid HTTP request, or exceed a size limit; the connection must be closed.
+@dataclass(frozen=True, slots=True)
+class HttpRefusal:
+    """The error response to a request after which its connection must be closed.
+
+    Unlike an error it has no traceback, whose frames would keep the request alive. It may be stored.
 
     Attributes:
         status: HTTP status of the response.
         code: Machine-readable error code.
         message: Human-readable description.
-        limit: The limit that was reached; None if the error is of another kind.
+        limit: The limit that was reached; None if the reason is of another kind.
+    """
+
+    status: int
+    code: str
+    message: str
+    limit: PeerLimit | None = None
+
+
+class InvalidHttpRequestError(RunspoolError):
+    """Received bytes are not a valid HTTP request, or exceed a size limit; the connection must be closed.
+
+    The error must not be stored, as its traceback refers to the request; `refusal` may be.
+
+    Attributes:
+        refusal: The response.
     """
 
-    def __init__(self, status: int, code: str, message: str, limit: PeerLimit | None = None) -> None:
-        super().__init__(message)
-        self.status = status
-        self.code = code
-        self.message = message
-        self.limit = limit
+    def __init__(self, refusal: HttpRefusal) -> None:
+        super().__init__(refusal.message)
+        self.refusal = refusal
+
+    @property
+    def status(self) -> int:
+        """HTTP status of the response."""
+        return self.refusal.status
+
+    @property
+    def limit(self) -> PeerLimit | None:
+        """The limit that was reached; None if the error is of another kind."""
+        return self.refusal.limit
 
 
 # Memory of one header beside its bytes: two strings and their place in the dictionary.
@@ -156,7 +182,7 @@
         self.body_bytes = body_bytes
         self.unique_prefixes = unique_prefixes
         self.ready: deque[HttpRequest] = deque()
-        self._error: InvalidHttpRequestError | None = None
+        self._refusal: HttpRefusal | None = None
         self._complete_before_error = 0  # number of complete requests in `ready` before the error
         self._framing = FramingCounter()
         self._trailer_fields = 0  # number of fields in the trailer section of the last request
@@ -179,7 +205,7 @@
             self._record_error(400, "malformed", str(error))
         if self._framing.add(len(data)) > self.head_bytes:
             self._record_framing_error()
-        if self._error is not None:
+        if self._refusal is not None:
             while len(self.ready) > self._complete_before_error:
                 self.ready.pop().body.clear()
             self.raise_pending_error()
@@ -195,14 +221,14 @@
 
     def _record_error(self, status: int, code: str, message: str, limit: PeerLimit | None = None) -> None:
         """Record the first error. The request that contains it and all later ones are discarded."""
-        if self._error is None:
-            self._error = InvalidHttpRequestError(status, code, message, limit)
+        if self._refusal is None:
+            self._refusal = HttpRefusal(status, code, message, limit)
             self._complete_before_error = sum(request.complete for request in self.ready)
 
     def raise_pending_error(self) -> None:
         """Raise the recorded error, if there is one, once `ready` is empty."""
-        if self._error is not None and not self.ready:
-            raise self._error
+        if self._refusal is not None and not self.ready:
+            raise InvalidHttpRequestError(self._refusal)
 
     def discard_requests(self) -> None:
         """Forget all requests and their bodies, which a caller may still refer to for a while."""
@@ -216,12 +242,8 @@
         return self._framing.count + sum(request.held_bytes for request in self.ready)
 
     def close(self) -> None:
-        """Release what refers back to this object: the httptools parser and an error with its traceback.
-
-        No feed() may follow.
-        """
+        """Release the httptools parser, which refers back to this object. No feed() may follow."""
         del self._parser
-        self._error = None
 
     # Callbacks of httptools; their names are given by it.
 
@@ -289,7 +311,7 @@
             self._record_error(
                 413, "query_bytes", f"a body of over {self.body_bytes} bytes", PeerLimit.REQUEST_BODY_BYTES
             )
-        elif self._error is None:
+        elif self._refusal is None:
             body.append(part)
 
     def on_message_complete(self) -> None:
--- a/tests/crowd/clients.py
+++ b/tests/crowd/clients.py
@@ -15,6 +15,7 @@
 
 from tests.fault_proxy import HOST
 from tests.node_platform.client import post
+from tests.node_platform.http_messages import LAST_CHUNK, chunked
 
 BODY_BYTES = 250_000
 PIECE_BYTES = 16_384
@@ -24,6 +25,8 @@
 READ_BYTES_PER_SECOND = 2_048
 RECEIVE_BUFFER_BYTES = 4_096  # of a slow reader's socket
 PAUSE = 0.05  # seconds before a client connects again
+ANSWERED_STAY = 2.4  # seconds for which a client stays connected after it has sent a sound request
+REFUSED_STAY = 2.2  # seconds for which a client stays connected after its request has been refused
 FIELDS = 4_000  # short fields of a head
 numbers = itertools.count()
 
@@ -120,6 +123,31 @@
     await _stay(reading)
 
 
+async def stay_after_refusal(writer: asyncio.StreamWriter, reading: Reading) -> None:
+    """Send a large unsound request, read the error, and stay; another form of fault each time."""
+    name, body = _name("refused"), _large_body()
+    forms = (
+        lambda: post(name, "none", body),
+        lambda: post(name, body=body, req_id=None),
+        lambda: post(name, body=b"{" + body),
+        lambda: post(name, body=body, req_extra="max_out=4,max_out=4"),
+        lambda: post(name, body=body, req_deadline="soon"),
+        lambda: post(
+            name, "none", chunked(body) + LAST_CHUNK, content_length=None, transfer_encoding="chunked"
+        ),
+        lambda: post(name, "none", body) + post(_name("behind"), body=body),
+    )
+    writer.write(forms[int(name.removeprefix("refused")) % len(forms)]())
+    await _stay(reading)
+    await asyncio.sleep(REFUSED_STAY)
+
+
+async def stay_after_answer(writer: asyncio.StreamWriter, reading: Reading) -> None:
+    """Send a large sound request, read the answer, and stay on the idle connection."""
+    writer.write(post(_name("sound"), body=_large_body()))
+    await asyncio.wait([reading], timeout=ANSWERED_STAY)
+
+
 BEHAVIOURS: dict[str, Behaviour] = {
     function.__name__: function
     for function in (
@@ -133,6 +161,8 @@
         read_slowly_after_large_request,
         send_short_deadlines,
         send_unsound_requests,
+        stay_after_refusal,
+        stay_after_answer,
     )
 }
 ALL = "all"  # each client has another behaviour
--- a/tests/crowd/trial.py
+++ b/tests/crowd/trial.py
@@ -21,7 +21,7 @@
 from tests.node_platform.client import post
 from tests.node_platform.platform import FAULT_MARKERS, Platform
 
-MEMORY_LIMITS_MB = (32, 48, 64, 96, 192)
+MEMORY_LIMITS_MB = (32, 48, 64, 96, 128, 192)
 SOCKETS = 1024
 CLIENTS = 440
 ENGINES = 4
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -22,7 +22,12 @@
 MIN_WHOLE = USUAL_CLIENTS // 2
 # The clients of these crowds have their own whole requests accepted. With little memory the next request may
 # therefore have to be refused; an accepted one is not given up for it.
-ACCEPTED_CROWDS = ("send_behind_open_request", "read_slowly", "read_slowly_after_large_request")
+ACCEPTED_CROWDS = (
+    "send_behind_open_request",
+    "read_slowly",
+    "read_slowly_after_large_request",
+    "stay_after_answer",
+)
 
 
 # Hundreds of clients that wrote slowly, stopped within a request or did not read took a node over its limit.
@@ -38,6 +43,19 @@
     assert outcome.whole >= (0 if behaviour in ACCEPTED_CROWDS else MIN_WHOLE), outcome
 
 
+# Refused clients that stayed took a node over each of these limits but the last (review/8).
+@pytest.mark.parametrize("limit_mb", [64, 96, 128, 192])
+async def test_refused_clients_that_stay_do_not_take_a_node_over_its_memory_limit(
+    limit_mb: int, tmp_path: Path
+) -> None:
+    outcome = await run_trial(tmp_path, limit_mb, "stay_after_refusal")
+    assert outcome.exit_code is None
+    assert not outcome.faults
+    assert outcome.peak_mb < limit_mb, outcome
+    assert (outcome.late, outcome.lost) == (0, 0), outcome
+    assert outcome.whole >= MIN_WHOLE, outcome
+
+
 @pytest.mark.parametrize("behaviour", ACCEPTED_CROWDS)
 async def test_usual_clients_are_served_beside_a_crowd_whose_requests_are_accepted(
     behaviour: str, tmp_path: Path
