A pending release no longer keeps its request and the client's connection

PendingRelease held two closures over the request's record, and that the listener, the handler and the client's connection, the target (up to 32 KB) and the names. The closures now hold the lifecycle and the id, and refer to the record weakly: once the record is gone, no attempt of the request can set its engine any more.

--- a/runspool/node/executor.py
+++ b/runspool/node/executor.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import partial
+from weakref import ReferenceType, ref
 
 from runspool.engines.attempt_result import AttemptResult, ResponseListener
 from runspool.engines.send_permit import SendPermit
@@ -12,7 +14,7 @@
 from runspool.node.request_parser import ClientRequest
 from runspool.node.state_releaser import PendingRelease, StateReleaser
 from runspool.runtime.scheduler_driver import SHUTDOWN_TASK
-from runspool.scheduling.request_lifecycle import PREFILL_MAY_HAVE_RUN, InvariantViolation
+from runspool.scheduling.request_lifecycle import PREFILL_MAY_HAVE_RUN, InvariantViolation, RequestLifecycle
 from runspool.scheduling.types import EngineState, Role
 from runspool.service.cell_scheduler import CellScheduler
 from runspool.service.clock import now
@@ -61,7 +63,7 @@
     source_address: str | None = None
 
 
-@dataclass(slots=True, kw_only=True)
+@dataclass(slots=True, kw_only=True, weakref_slot=True)
 class PendingNodeRequest(PendingRequest):
     """A client's request to which this node must send a final response.
 
@@ -242,6 +244,9 @@
         Engines keep state that an attempt they have received waits for. Therefore the engines that may hold
         state stay recorded in the request, and the state can be released again after the attempt.
 
+        The release may go on long after the request has ended, until an engine confirms it. It must not keep
+        the request with its client's connection, which are charged to nobody by then.
+
         Returns:
             Whether there was any state to release.
         """
@@ -249,11 +254,12 @@
         if endpoint is None:
             return False
         reserved_since = pending.lifecycle.release_started()
+        lifecycle = pending.lifecycle
         release = PendingRelease(
             pending.id,
             endpoint,
-            on_confirmed=lambda: self._release_confirmed(pending, reserved_since),
-            attempt_may_leave_state=lambda: self._attempt_may_leave_state(pending),
+            on_confirmed=partial(self._release_confirmed, pending.id, lifecycle, reserved_since),
+            attempt_may_leave_state=partial(_attempt_may_leave_state, lifecycle, ref(pending)),
         )
         self._spawn(self.state_releaser.release, release)
         return True
@@ -316,24 +322,17 @@
         self.request_ids.closed(pending.id, ended_at, pending.lifecycle.effect_known_until(ended_at))
         self.release_prefill_state(pending)
 
-    def _release_confirmed(self, pending: PendingNodeRequest, reserved_since: int | None) -> None:
-        if not pending.lifecycle.release_confirmed(now(), reserved_since):
+    def _release_confirmed(
+        self, request: str, lifecycle: RequestLifecycle, reserved_since: int | None
+    ) -> None:
+        if not lifecycle.release_confirmed(now(), reserved_since):
             self.invariants.record(
                 InvariantViolation.STATE_RELEASED_LATE,
-                request=pending.id,
+                request=request,
                 reason="the release was confirmed late",
                 held_for=now() - (reserved_since or 0),
             )
 
-    def _attempt_may_leave_state(self, pending: PendingNodeRequest) -> bool:
-        """Return whether an attempt that this node ended may leave state that nothing else would release."""
-        attempt = pending.lifecycle.last_attempt
-        return (
-            pending.lifecycle.may_still_run_on_engine
-            and pending.prefill_endpoint is None
-            and not (attempt is not None and attempt.in_progress)
-        )
-
     def _count_release(self, change: int) -> None:
         self.releases_in_progress += change
 
@@ -353,3 +352,15 @@
             if record.state == EngineState.READY
         ]
         return sorted(ready, key=last_response_at, reverse=True)
+
+
+def _attempt_may_leave_state(
+    lifecycle: RequestLifecycle, pending_reference: ReferenceType[PendingNodeRequest]
+) -> bool:
+    """Return whether an attempt that this node ended may leave state that nothing else would release."""
+    attempt, pending = lifecycle.last_attempt, pending_reference()
+    return (
+        lifecycle.may_still_run_on_engine
+        and (pending is None or pending.prefill_endpoint is None)
+        and not (attempt is not None and attempt.in_progress)
+    )
--- a/tests/test_refused_requests.py
+++ b/tests/test_refused_requests.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import gc
+import weakref
 from collections.abc import Awaitable, Callable, Iterator
 from pathlib import Path
 from unittest.mock import patch
@@ -16,6 +17,7 @@
 
 from runspool.engines.failure_classification import FailureCause
 from runspool.limits.memory_account import MemoryAccount, MemoryKind
+from runspool.node.executor import PendingNodeRequest
 from runspool.node.request_handler import RequestHandler
 from runspool.node.server import NodeServer
 from runspool.transport import tcp
@@ -214,6 +216,25 @@
         client.close()
 
 
+# A pending release kept the request with its target and its client's connection, charged to nobody.
+async def test_a_pending_release_keeps_neither_its_request_nor_the_connection(tmp_path: Path) -> None:
+    async def release_fails(*arguments: object) -> FailureCause:
+        await asyncio.sleep(0.1)
+        return FailureCause.CONNECT_FAILED
+
+    platform = Platform(tmp_path, PREFILL_AND_DECODE)
+    async with platform.open_in_process() as server:
+        server.executor.engine_client.release_state = release_fails  # type: ignore[method-assign, assignment]
+        client = await end_by_deadline(platform, server)
+        (handler,) = map(weakref.ref, server.connections.handlers)
+        client.close()
+        await wait_until(lambda: not server.connections.handlers)
+        await wait_until(lambda: "q1" in server.executor.state_releaser.overdue)
+        gc.collect()
+        assert handler() is None
+        assert not any(type(each) is PendingNodeRequest for each in gc.get_objects())
+
+
 async def test_a_body_is_charged_for_as_long_as_its_request_is_served(tmp_path: Path) -> None:
     platform, held_before = Platform(tmp_path, PREFILL_AND_DECODE), held_body_bytes()
     async with platform.open_in_process() as server:
