A malformed stream leaves no cycle behind: the parser stores the fault, not the error

EventStreamParser stored the error of an event that follows valid ones in an attribute, and it was raised later. Its traceback refers to the frames that hold the parser, so that the request, the exchange and the client's connection were left to the garbage collector, charged to nobody. Of nine ways in which a request ends (five refusals or short deadlines, four streams) this was the only one that left a cycle, seen with the collector off. The parser now stores a StreamFault, and raises a new error of it.

The test of refused requests also looks for heads: none of a refused request is left while its client lingers.

--- a/runspool/node/engine_client.py
+++ b/runspool/node/engine_client.py
@@ -203,7 +203,7 @@
             data += events.feed(exchange.response.take_body())
             self._charge_partial_event(events, partial_event, exchange)
         # Raise before anything is forwarded, so that another engine can still provide the whole stream.
-        _raise_parse_error(events)
+        events.raise_fault()
         return data
 
     async def _forward_events(
@@ -235,7 +235,7 @@
                 await self._forward(data, wait, listener)
             if events.progress.count > former_progress:
                 wait.waiting_since = self.now()
-            _raise_parse_error(events)
+            events.raise_fault()
             self._charge_partial_event(events, partial_event, exchange)
         events.check_complete()
 
@@ -256,12 +256,6 @@
         wait.waiting_since = waiting_since + self.now() - started
 
 
-def _raise_parse_error(events: EventStreamParser) -> None:
-    """Raise the error that the parser found after the events it returned last, if any."""
-    if events.error is not None:
-        raise events.error
-
-
 def _encode_request(request: ClientRequest, remaining: int) -> tuple[bytes, bytes]:
     """Encode the client's request for the engine, with target, body and id unchanged.
 
--- a/runspool/node/event_stream.py
+++ b/runspool/node/event_stream.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import re
+from dataclasses import dataclass
 
 import msgspec
 
@@ -20,6 +21,19 @@
 IGNORED_FIELDS = (b":", b"event:", b"id:", b"retry:")
 
 
+@dataclass(frozen=True, slots=True)
+class StreamFault:
+    """Why received bytes are not a valid event stream. Unlike an error it may be stored.
+
+    Attributes:
+        message: The description.
+        limit: The limit that was reached; None if the fault is of another kind.
+    """
+
+    message: str
+    limit: PeerLimit | None = None
+
+
 class MalformedEventStreamError(RunspoolError):
     """The received bytes are not a valid event stream.
 
@@ -92,8 +106,8 @@
         cached_tokens: The number of prompt tokens that were found in the engine's prefix cache.
         prompt_tokens: The number of prompt tokens.
         output_tokens: The number of output tokens.
-        error: The error that follows the events returned by the latest feed(); None if there is none. Once it
-            is set, feed() must not be called again.
+        fault: What follows the events returned by the latest feed() and is invalid; None if nothing is. Once
+            it is set, feed() must not be called again.
     """
 
     def __init__(self, max_event_bytes: int, progress: AnswerProgress) -> None:
@@ -104,7 +118,7 @@
         self.cached_tokens = 0
         self.prompt_tokens = 0
         self.output_tokens = 0
-        self.error: MalformedEventStreamError | None = None
+        self.fault: StreamFault | None = None
         self._partial_event = b""  # the bytes received of the next event
 
     def feed(self, data: bytes) -> bytes:
@@ -112,7 +126,7 @@
 
         Raises:
             MalformedEventStreamError: The first event is invalid or too large. If a later event is, the
-                events before it are returned and `error` is set.
+                events before it are returned and `fault` is set.
         """
         pending = self._partial_event + data if self._partial_event else data
         complete_bytes = 0
@@ -123,18 +137,27 @@
                 # Return the valid events that were received together with the invalid one.
                 if not complete_bytes:
                     raise
-                self.error = error
+                self.fault = StreamFault(str(error), error.limit)
                 break
             complete_bytes = end.end()
         self._partial_event = pending[complete_bytes:]
-        if len(self._partial_event) > self.max_event_bytes and self.error is None:
-            self.error = MalformedEventStreamError(
+        if len(self._partial_event) > self.max_event_bytes and self.fault is None:
+            self.fault = StreamFault(
                 f"an event is larger than {self.max_event_bytes} bytes", PeerLimit.EVENT_BYTES
             )
             if not complete_bytes:
-                raise self.error
+                self.raise_fault()
         return pending[:complete_bytes]
 
+    def raise_fault(self) -> None:
+        """Raise the fault that follows the events returned by the latest feed(), if there is one.
+
+        Raises:
+            MalformedEventStreamError: There is one.
+        """
+        if self.fault is not None:
+            raise MalformedEventStreamError(self.fault.message, self.fault.limit)
+
     @property
     def partial_bytes(self) -> int:
         """The number of bytes held of an event that is not complete."""
--- a/tests/test_refused_requests.py
+++ b/tests/test_refused_requests.py
@@ -21,6 +21,7 @@
 from runspool.node.request_handler import RequestHandler
 from runspool.node.server import NodeServer
 from runspool.transport import tcp
+from runspool.wire.http_requests import HttpRequest
 from tests.node_platform.client import Client, post
 from tests.node_platform.engine import never_responds
 from tests.node_platform.http_messages import EVENTS, LAST_CHUNK, STREAM_HEAD, ReceivedRequest, chunked
@@ -116,6 +117,8 @@
         assert 400 <= (await client.read_head()).status < 600
         await wait_until(lambda: lingering_count(server) == 1)
         assert (held_body_bytes(), charged_bytes(memory)) == (held_before, charged_before)
+        # Only the head of the open request is left: a head has up to 32 KB.
+        assert sum(type(each) is HttpRequest for each in gc.get_objects()) == 1
 
 
 # Ways in which a well-formed request ends without having been served.
@@ -249,3 +252,25 @@
         client.close()
         await wait_until(lambda: not server.connections.handlers)
         assert charged_bytes(memory) == 0
+
+
+# The error of a malformed event was stored and raised: a cycle held its request until garbage collection.
+async def test_no_cycle_keeps_a_request_whose_stream_is_malformed_behind_an_event(tmp_path: Path) -> None:
+    async def sends_malformed_remainder(request: ReceivedRequest) -> None:
+        await request.send(STREAM_HEAD + chunked(EVENTS[0]))
+        await asyncio.sleep(0.1)
+        await request.send(chunked(EVENTS[1] + b"data: {oops\n\n"))
+        await request.wait_until_closed()
+
+    platform = Platform(tmp_path, PREFILL_AND_DECODE)
+    async with platform.open_in_process() as server:
+        platform.engines["w"].scripts = [sends_malformed_remainder]
+        gc.collect()
+        gc.disable()
+        try:
+            assert not (await platform.send_request(post("q1"))).complete
+            await wait_until(lambda: not server.connections.handlers)
+            await asyncio.sleep(0.05)  # the attempt ends some iterations of the event loop later
+            assert not any(type(each) is PendingNodeRequest for each in gc.get_objects())
+        finally:
+            gc.enable()
