Every text of an answer is progress, whatever the event before it said

What callers saw: a stream was cut off without its last chunk while its events were coming, 4.95 s after the first of several events with the same text. A stream that said the same three times and then stopped was ended about 2 s after its last event, where its client waits for 5 s.

Cause: AnswerProgress took an event with the same data as the one before it for nothing for 4 s, and each repeated event began that time anew. The rule is gone. What ends endless streams are the other ones, unchanged: events without a part, or with the usage, the finish reason or the end again, texts behind the finish reason and texts beyond four for each token that the request asked for.

Three checks asserted the opposite of these sentences, and are replaced by ones as strict: - test_the_same_event_counts_again_only_after_a_while: now each text counts up to what the request allows and none beyond it; events without a part never count, in 1,000 of them. - the two "repeated event" forms of test_a_stream_whose_events_bring_nothing_new_ends_within_5_s: now six other forms (role alone, empty parts, no delta, no choices in an endless chunk, usage with an empty delta, texts after the finish reason), and a test of a stream that goes on beyond what its request allows. - the soak's `fruitless` engine repeated a text that its request allowed. It now goes on in one of five forms: an empty delta, no choices, the usage or the end again, the same text beyond its request.

--- a/runspool/limits/answer_progress.py
+++ b/runspool/limits/answer_progress.py
@@ -2,25 +2,20 @@
 
 A stream may go on for as long as it brings parts of the answer, and its client may wait for each of them only
 for a limited time. Bytes and events that bring nothing therefore end no wait; otherwise a broken engine could
-keep a client waiting for ever. An event brings something if it is the first to say something:
+keep a client waiting for ever. An event brings something if it has
 
 - a text, while its choice has no finish reason, up to a multiple of the tokens that the request asked for
-- the finish reason of a choice
-- the usage
-- the end of the stream
+- the first finish reason of a choice
+- the first usage
+- the first end of the stream
 
-An event whose data is the same as that of the event before it brings nothing. After a long time it counts,
-since an engine that writes very slowly may produce the same token again.
+What a text says does not matter: a model may produce the same token any number of times.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import NamedTuple
 
-# Time, in tenths of a millisecond, after which an event counts that is the same as the one before it. It is
-# longer than engines hang or are slow for, after which a broken one would only go on repeating itself.
-REPEATED_EVENT_INTERVAL = 40_000
 MAX_CHOICES = 128  # maximum number of choices of an answer
 # Events with a text for each token that the request asked for. Engines usually send several tokens in an
 # event, but may count them in another way than the request; the limit is for those that do not end at all.
@@ -45,37 +40,29 @@
     """The progress of one answer.
 
     Attributes:
-        max_texts: The maximum number of events with a text; 0 if the request does not limit the answer.
-        now: Returns the current time in tenths of a millisecond.
+        max_texts: The maximum number of texts of all choices; 0 if the request does not limit the answer.
         count: The number of events so far that have brought a part of the answer.
     """
 
-    def __init__(self, max_output_tokens: int, now: Callable[[], int]) -> None:
+    def __init__(self, max_output_tokens: int) -> None:
         """Create the progress of an answer that has brought nothing yet.
 
         Args:
             max_output_tokens: The number of tokens that the request asked for; 0 if it set no limit.
-            now: Returns the current time in tenths of a millisecond.
         """
         self.max_texts = max_output_tokens * MAX_TEXTS_PER_TOKEN
-        self.now = now
         self.count = 0
         self._text_count = 0
         self._finished_choices: set[int] = set()
         self._has_usage = False
-        self._last_data = b""
-        self._last_data_at = 0
 
-    def record_event(self, data: bytes, choices: list[ChoicePart], has_usage: bool) -> None:
+    def record_event(self, choices: list[ChoicePart], has_usage: bool) -> None:
         """Record an event of the answer.
 
         Args:
-            data: The data of the event.
             choices: What the event says of the choices.
             has_usage: Whether the event has the usage.
         """
-        if self._is_repeated(data):
-            return
         brings_something = has_usage and not self._has_usage
         self._has_usage = self._has_usage or has_usage
         for choice in choices:
@@ -87,12 +74,6 @@
         """Record the first event that says that the stream has ended."""
         self.count += 1
 
-    def _is_repeated(self, data: bytes) -> bool:
-        now = self.now()
-        is_repeated = data == self._last_data and now - self._last_data_at < REPEATED_EVENT_INTERVAL
-        self._last_data, self._last_data_at = data, now
-        return is_repeated
-
     def _takes_text(self, choice: ChoicePart) -> bool:
         if not choice.has_text or choice.number in self._finished_choices:
             return False
--- a/runspool/node/event_stream.py
+++ b/runspool/node/event_stream.py
@@ -192,9 +192,7 @@
             raise MalformedEventStreamError(f"the data of an event is invalid: {error}") from None
         usage = event.usage
         if not self.done:
-            self.progress.record_event(
-                data, [_choice_part(choice) for choice in event.choices], usage is not None
-            )
+            self.progress.record_event([_choice_part(choice) for choice in event.choices], usage is not None)
         if usage is None:
             return
         self.prompt_tokens = usage.prompt_tokens
--- /dev/null
+++ b/tests/soak/answers.py
@@ -0,0 +1,91 @@
+"""The answers of the engines in a soak; each depends only on the id of its request and on the conditions.
+
+Some answers say the same again and again, and are whole. Others stop to bring anything new, but never end.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from hashlib import sha256
+from random import Random
+
+from runspool.limits.answer_progress import MAX_TEXTS_PER_TOKEN
+
+EVENT_INTERVAL = 0.1  # seconds between two events of a long stream
+MIN_TEXTS = 4
+TOKENS_PER_TEXT = 2  # a text has eight characters, a token has four
+SAME_TEXT_SHARE = 0.3  # share of the answers whose texts are all the same
+RUNS_SHARE = 0.3  # share of the answers whose texts are the same RUN_LENGTH times on end
+RUN_LENGTH = 5
+SMALL_LIMIT = 2  # tokens that are asked for where an engine goes on beyond its request
+USAGE_EVENT = b'data: {"choices":[],"usage":{"prompt_tokens":40,"completion_tokens":8}}\n\n'
+END_EVENT = b"data: [DONE]\n\n"
+
+
+class EndlessForm(Enum):
+    """What an answer that never ends goes on with."""
+
+    EMPTY_DELTA = "empty_delta"
+    NO_CHOICES = "no_choices"
+    USAGE = "usage"
+    END = "end"
+    SAME_TEXT = "same_text"  # beyond what its request allows
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """One answer.
+
+    Attributes:
+        events: The events that bring the client a part of the answer, in order.
+        repeated: The event that follows them without end; empty if the answer ends with them.
+        max_tokens: The number of tokens that the request asks for.
+    """
+
+    events: list[bytes]
+    repeated: bytes
+    max_tokens: int
+
+    @property
+    def body(self) -> bytes:
+        """The bytes of all events that bring a part."""
+        return b"".join(self.events)
+
+
+def answer_to(request: str, duration: float, form: EndlessForm | None) -> Answer:
+    """Return the answer that every engine gives to a request.
+
+    Args:
+        request: The id of the request.
+        duration: How long the answer takes, in seconds.
+        form: What it goes on with without end; None if it ends.
+    """
+    count = max(MIN_TEXTS + len(request) % 3, int(duration / EVENT_INTERVAL))
+    texts = _texts(request, count)
+    max_tokens = TOKENS_PER_TEXT * count
+    if form is None:
+        return Answer([*texts, END_EVENT], b"", max_tokens)
+    if form is EndlessForm.SAME_TEXT:
+        return Answer([texts[0]] * (SMALL_LIMIT * MAX_TEXTS_PER_TOKEN), texts[0], SMALL_LIMIT)
+    begun = texts[: count // 2]
+    match form:
+        case EndlessForm.USAGE:
+            return Answer([*begun, USAGE_EVENT], USAGE_EVENT, max_tokens)
+        case EndlessForm.END:
+            return Answer([*begun, END_EVENT], END_EVENT, max_tokens)
+        case EndlessForm.NO_CHOICES:
+            return Answer(begun, b'data: {"choices":[]}\n\n', max_tokens)
+        case EndlessForm.EMPTY_DELTA:
+            return Answer(begun, b'data: {"choices":[{"index":0,"delta":{}}]}\n\n', max_tokens)
+
+
+def _texts(request: str, count: int) -> list[bytes]:
+    """Return the events with the texts of an answer, some of which repeat the one before."""
+    draw = Random(f"{request}.texts").random()
+    run = count if draw < SAME_TEXT_SHARE else RUN_LENGTH if draw < SAME_TEXT_SHARE + RUNS_SHARE else 1
+    words = [sha256(f"{request}.{index // run}".encode()).hexdigest()[:8] for index in range(count)]
+    return [
+        b'data: {"choices":[{"index":0,"delta":{"content":"%b"},"finish_reason":null}]}\n\n' % word.encode()
+        for word in words
+    ]
--- a/tests/soak/client_workload.py
+++ b/tests/soak/client_workload.py
@@ -9,7 +9,7 @@
 
 from tests.fault_proxy import HOST
 from tests.node_platform.client import Client, post
-from tests.soak.environment import Environment, expected_stream
+from tests.soak.environment import Environment
 from tests.soak.nodes import SoakNode
 
 # The request class of each request is drawn from these; half of the requests are of class "ask".
@@ -125,8 +125,14 @@
         deadline = self.random.choice(DEADLINE_SHARES) * self.environment.conditions.longest_deadline
         body = b'{"prompt":"%b"}' % name.encode()
         client, new = await self._connection(node)
+        max_tokens = self.environment.conditions.answer(name).max_tokens
         data = post(
-            name, kind, body, req_deadline=f"{int(deadline * 1000)}m", req_key=f"k{self.request_count % 40}"
+            name,
+            kind,
+            body,
+            req_deadline=f"{int(deadline * 1000)}m",
+            req_key=f"k{self.request_count % 40}",
+            req_extra=f"prefix=5c0f,prompt_len=40,prefix_len=8,max_out={max_tokens}",
         )
         if self.random.random() < SPLIT_REQUEST_SHARE:
             client.send(data[:200])
@@ -179,7 +185,7 @@
         node closes the connection) or "whole" (complete, and the connection stays open).
         """
         response = await client.read_head()
-        expected = b"".join(expected_stream(name, self.environment.conditions.stream_duration(name)))
+        expected = self.environment.conditions.answer(name).body
         loop = asyncio.get_running_loop()
         progress_at, received = loop.time(), 0  # number of bytes of the expected stream
         if response.status == 200:
--- a/tests/soak/conditions.py
+++ b/tests/soak/conditions.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, replace
 from random import Random
 
+from tests.soak.answers import Answer, EndlessForm, answer_to
+
 MAX_DEADLINE_ALLOWANCE = 3.0  # seconds of the longest deadline that delay the kill of a node, at most
 KILL_DELAY = 0.7  # seconds between SIGTERM and SIGKILL in addition to the allowed deadline
 # Crowds whose clients never send a whole request, so that none of theirs may be passed on.
@@ -24,7 +26,7 @@
             has closed meanwhile.
         longest_stream: the longest duration of a long stream.
         long_share: the share of the requests whose streams are long.
-        fruitless_share: the share of the streams that stop to bring anything new, but go on without end.
+        fruitless_share: the share of the answers that stop to bring anything new, but go on without end.
         crowd: the behaviour of a crowd of clients at each node, of those in tests.crowd.clients; empty for
             no crowd.
         crowd_clients: the number of clients of the crowd at each node.
@@ -47,9 +49,12 @@
         """The shortest time after SIGTERM at which the platform sends SIGKILL to a node."""
         return min(MAX_DEADLINE_ALLOWANCE, self.longest_deadline) + KILL_DELAY
 
-    def is_fruitless(self, request: str) -> bool:
-        """Return whether a request's stream stops to bring anything new."""
-        return Random(f"{request}.fruitless").random() < self.fruitless_share
+    def answer(self, request: str) -> Answer:
+        """Return the answer to a request, which is the same at every engine."""
+        random = Random(f"{request}.fruitless")
+        is_endless = random.random() < self.fruitless_share
+        form = random.choice(list(EndlessForm)) if is_endless else None
+        return answer_to(request, self.stream_duration(request), form)
 
     def stream_duration(self, request: str) -> float:
         """Return how long a request's stream takes, which is the same at every engine."""
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -10,7 +10,6 @@
 import time
 from contextlib import suppress
 from dataclasses import dataclass, field
-from hashlib import sha256
 from random import Random
 from typing import Any
 
@@ -26,11 +25,11 @@
     read_request,
 )
 from tests.node_platform.ports import free_port
+from tests.soak.answers import EVENT_INTERVAL
 from tests.soak.conditions import Conditions
 
 Event = dict[str, Any]
 ENGINE_KINDS = ("prefill", "decode", "mixed")
-EVENT_INTERVAL = 0.1  # seconds between two events of a long stream
 NOT_LISTED = "left"  # the status of an engine that is not on the endpoint list
 PREFILL_ENGINES, DECODE_ENGINES, MIXED_ENGINES = 8, 7, 3  # the number of engines of each kind in a soak
 
@@ -45,9 +44,9 @@
       `left` (client disconnected), `again` (its request was sent again) and `bad` (malformed request sent);
     - of the proxies between nodes and engines: `sent` (the node began to send a request), `sent_whole`,
       `node_got` (first bytes of the response) and `node_closed` (connection closed before a response);
-    - of engines: `arrived`, `ran`, `declined` (state missing), `fruitless` (the stream brings nothing new),
-      `over` (the attempt ended), `held` and `taken` (a state is held, or not any more) and `released` (a
-      release call arrived);
+    - of engines: `arrived`, `ran`, `declined` (state missing), `fruitless` (the stream has just brought its
+      last part, and goes on without end), `over` (the attempt ended), `held` and `taken` (a state is held, or
+      not any more) and `released` (a release call arrived);
     - of agents: `agent_call`, `told` (answer written), `agent_pace`, `agent_down`, `agent_up`, `agent_reset`
       and `agent_moved`;
     - of node processes: `started`, `ready`, `not_started`, `told_to_end` (signal sent), `killed_late`,
@@ -75,20 +74,6 @@
     waiting_attempts: int = 0
 
 
-def expected_stream(request: str, duration: float) -> list[bytes]:
-    """Return the stream with which every engine answers a request.
-
-    The stream depends only on the arguments, so that a client can check that it received all of it.
-    """
-    count = max(4 + len(request) % 3, int(duration / EVENT_INTERVAL))
-    words = [sha256(f"{request}.{index}".encode()).hexdigest()[:8] for index in range(count)]
-    events = [
-        b'data: {"choices":[{"index":0,"delta":{"content":"%b"},"finish_reason":null}]}\n\n' % word.encode()
-        for word in words
-    ]
-    return [*events, b"data: [DONE]\n\n"]
-
-
 class SoakEngine:
     """One engine, which prefills, decodes, or does both. Faults can make it slow, fail attempts or hang.
 
@@ -219,20 +204,20 @@
                 state.waiting_attempts -= 1
         self.environment.drop_state(name)
         writer.write(STREAM_HEAD)
-        duration = self.environment.conditions.stream_duration(name)
-        events = expected_stream(name, duration)
-        is_fruitless = self.environment.conditions.is_fruitless(name)
-        for event in events[: len(events) // 2] if is_fruitless else events:
+        answer = self.environment.conditions.answer(name)
+        interval = min(EVENT_INTERVAL, self.environment.conditions.stream_duration(name) / len(answer.events))
+        for number, event in enumerate(answer.events, 1):
             await self.running.wait()
             writer.write(chunked(event))
-            await asyncio.sleep(duration / len(events) * self.slowdown)
-        if is_fruitless:
-            await self._repeat_event(name, events[len(events) // 2 - 1], writer)
+            if answer.repeated and number == len(answer.events):
+                self.environment.record("fruitless", engine=self.name, request=name)
+            await asyncio.sleep(interval * self.slowdown)
+        if answer.repeated:
+            await self._repeat_event(answer.repeated, writer)
         writer.write(LAST_CHUNK)
 
-    async def _repeat_event(self, name: str, event: bytes, writer: asyncio.StreamWriter) -> None:
+    async def _repeat_event(self, event: bytes, writer: asyncio.StreamWriter) -> None:
         """Send the same event again and again, until the node closes the connection."""
-        self.environment.record("fruitless", engine=self.name, request=name)
         while not writer.transport.is_closing():
             await self.running.wait()
             writer.write(chunked(event))
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -45,6 +45,20 @@
 # Seconds for which a client may be left waiting for the end of its stream after what it last brought.
 LONGEST_SILENCE = 5.05
 STREAM_SILENCE = 5.0  # seconds without data after which a client treats its stream as broken
+# Seconds after what a stream last brought before which a node must not end it; its own limit is 50 ms shorter
+# than the page's.
+SHORTEST_SILENCE = 4.9
+# The faults that may break a stream that has begun. The others leave its events coming, if more slowly.
+STREAM_BREAKING_FAULTS = (
+    "silence",
+    "silence_there",
+    "silence_back",
+    "silent_after",
+    "reset",
+    "hang",
+    "started_anew",
+    "left_and_back",
+)
 
 RULES = (
     "lost",
@@ -217,23 +231,29 @@
         return not self.all("sent") and (not request["new"] or after_signal > CONNECTING_UNTIL)
 
     def check_cut_stream(self, resumable: bool, faults: list[Event]) -> None:
-        """Check that a node does not cut a stream whose events still arrive, unless clients can resume it."""
+        """Check that a node does not cut a stream whose events still arrive, unless clients can resume it.
+
+        A stream that goes on without bringing anything may be cut, but only once its client has waited for
+        as long as for a stream that has stopped.
+        """
         request, begun, answered = self.request, self.first("begun"), self.answered
-        if (
-            resumable
-            or self.all("fruitless")
-            or request is None
-            or begun is None
-            or answered is None
-            or answered["how"] != "cut"
-        ):
+        if resumable or request is None or begun is None or answered is None or answered["how"] != "cut":
             return
         stop = self._stop_of(request)
         by_kill = stop is not None and stop.killed_at is not None and answered["t"] >= stop.killed_at
         engine = self.all("ran")[-1]["engine"]
-        if not by_kill and not _has_fault(faults, engine, begun["t"], answered["t"]):
+        if by_kill or self._has_brought_nothing(engine, answered["t"]):
+            return
+        if not _has_fault(faults, engine, begun["t"], answered["t"]):
             self.add_violation("lost", "the stream was cut, although the engine still sent its events")
 
+    def _has_brought_nothing(self, engine: str, until: float) -> bool:
+        """Return whether an engine's stream has only gone on without a part of the answer for long enough."""
+        return any(
+            event["engine"] == engine and until - event["t"] >= SHORTEST_SILENCE
+            for event in self.all("fruitless")
+        )
+
     def _check_lost(self, request: Event) -> None:
         if self.left is not None or self.answered is None:
             return
@@ -388,6 +408,7 @@
     """Return whether a fault that affects an engine may have broken a stream between `since` and `until`."""
     return any(
         engine in fault["engines"]
+        and fault["kind"] in STREAM_BREAKING_FAULTS
         and fault["t"] < until
         and (fault["kind"] == "silent_after" or since < fault["t"] + fault["lasts"] + STREAM_SILENCE)
         for fault in faults
--- a/tests/soak/sabotage.py
+++ b/tests/soak/sabotage.py
@@ -23,6 +23,7 @@
 from runspool.node import discovery_client, search_backoff
 from runspool.node import engine_client as calls
 from runspool.node.client_connections import ClientConnections
+from runspool.node.event_stream import EventStreamParser
 from runspool.node.executor import NodeExecutor
 from runspool.node.graceful_shutdown import GracefulShutdown
 from runspool.node.request_ids import RequestIds
@@ -177,12 +178,26 @@
 def count_every_event() -> None:
     """Take every event of a stream for progress."""
 
-    def count(self: AnswerProgress, data: bytes, choices: Any, has_usage: bool) -> None:
+    def count(self: AnswerProgress, choices: Any, has_usage: bool) -> None:
         self.count += 1
 
     AnswerProgress.record_event = count  # type: ignore[method-assign]
 
 
+def ignore_repeated_events() -> None:
+    """Take an event with the same data as the one before it for no progress."""
+    original = EventStreamParser._parse_data
+
+    def parse_unless_repeated(self: Any, data: bytes) -> None:
+        former = self.progress.count
+        original(self, data)
+        if data == getattr(self.progress, "last_data", b""):
+            self.progress.count = former
+        self.progress.last_data = data
+
+    EventStreamParser._parse_data = parse_unless_repeated  # type: ignore[method-assign]
+
+
 def forget_ids() -> None:
     """Forget an id with its request."""
     RequestIds.is_known = lambda self, request_id, now: request_id in self.open  # type: ignore[method-assign]
@@ -211,6 +226,7 @@
     "foreign": change_bodies,
     "alive": exit_unexpectedly,
     "lost.waits": count_every_event,
+    "lost.repeats": ignore_repeated_events,
     "twice.forgets": forget_ids,
     "memory": hold_without_limit,
 }
--- a/tests/test_answer_progress.py
+++ b/tests/test_answer_progress.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from runspool.engines.attempt_result import AttemptResult
+from runspool.engines.completions_client import _TokenStream
+from runspool.engines.failure_classification import FailureCause
 from runspool.limits.answer_progress import (
     MAX_TEXTS_PER_TOKEN,
-    REPEATED_EVENT_INTERVAL,
     AnswerProgress,
     ChoicePart,
 )
+from runspool.scheduling.types import AttemptStatus
 
 TEXT = ChoicePart(0, has_text=True, is_finished=False)
 FINISH = ChoicePart(0, has_text=False, is_finished=True)
@@ -18,35 +25,63 @@
 
 
 def test_after_the_finish_reason_only_usage_and_the_end_bring_something() -> None:
-    progress = AnswerProgress(0, lambda: 0)
-    progress.record_event(b"text", [TEXT], has_usage=False)
-    progress.record_event(b"finish", [FINISH], has_usage=False)
-    for data in (b"more", b"and more"):
-        progress.record_event(data, [TEXT], has_usage=False)
+    progress = AnswerProgress(0)
+    progress.record_event([TEXT], has_usage=False)
+    progress.record_event([FINISH], has_usage=False)
+    for _ in range(2):
+        progress.record_event([TEXT], has_usage=False)
     assert progress.count == 2
-    progress.record_event(b"usage", [], has_usage=True)
-    progress.record_event(b"usage again", [], has_usage=True)
+    progress.record_event([], has_usage=True)
+    progress.record_event([], has_usage=True)
     progress.record_end()
     assert progress.count == 4
 
 
-def test_the_same_event_counts_again_only_after_a_while() -> None:
-    times = [0, 2_000, 30_000, 30_000 + REPEATED_EVENT_INTERVAL]
-    progress = AnswerProgress(0, iter(times).__next__)
-    for _ in times:
-        progress.record_event(b"same", [TEXT], has_usage=False)
-    assert progress.count == 2
+# Streams were cut off because their events had the same text as the one before (review/9).
+def test_every_text_counts_up_to_what_the_request_allows_and_none_beyond_it() -> None:
+    progress = AnswerProgress(10)
+    for index in range(10 * MAX_TEXTS_PER_TOKEN):
+        progress.record_event([TEXT], has_usage=False)
+        assert progress.count == index + 1
+    for _ in range(1_000):
+        progress.record_event([TEXT], has_usage=False)
+    assert progress.count == 10 * MAX_TEXTS_PER_TOKEN
+
+
+def test_events_without_a_part_never_count_however_long_they_go_on() -> None:
+    progress = AnswerProgress(0)
+    progress.record_event([FINISH], has_usage=True)
+    for event in ([], [NOTHING], [FINISH], [TEXT], [NOTHING, FINISH]) * 200:
+        progress.record_event(event, has_usage=True)
+    assert progress.count == 1
 
 
 parts = st.sampled_from([TEXT, FINISH, NOTHING, ChoicePart(1, has_text=True, is_finished=False)])
 
 
-@given(st.lists(st.tuples(st.binary(max_size=2), st.lists(parts, max_size=3), st.booleans())))
+@given(st.lists(st.tuples(st.lists(parts, max_size=3), st.booleans())))
 def test_an_answer_makes_no_more_progress_than_its_request_allows(
-    events: list[tuple[bytes, list[ChoicePart], bool]],
+    events: list[tuple[list[ChoicePart], bool]],
 ) -> None:
     max_tokens, choices = 2, 2
-    progress = AnswerProgress(max_tokens, lambda: 0)
-    for data, said, has_usage in events * 3:
-        progress.record_event(data, said, has_usage)
+    progress = AnswerProgress(max_tokens)
+    for said, has_usage in events * 3:
+        progress.record_event(said, has_usage)
     assert progress.count <= max_tokens * MAX_TEXTS_PER_TOKEN + choices + 1
+
+
+@pytest.mark.anyio
+async def test_a_completion_makes_progress_with_each_text_and_with_nothing_else() -> None:
+    async def read_more(exchange: Any, cause: FailureCause) -> None:
+        raise AssertionError("all is there")
+
+    text, empty = (b'data: {"choices":[{"text":"%b"}]}\n\n' % each for each in (b"0", b""))
+    finish = b'data: {"choices":[{"text":"","finish_reason":"stop"}]}\n\n'
+    bodies = [text] * 40 + [empty] * 5 + [finish] * 5 + [text] * 5
+    exchange: Any = SimpleNamespace(response=SimpleNamespace(take_body=iter(bodies).__next__, complete=False))
+    stream = _TokenStream(read_more, AttemptResult(AttemptStatus.SUCCEEDED), 1_000, max_output_tokens=40)
+    counts = []
+    for _ in bodies:
+        await stream.read(exchange, FailureCause.STREAM_INTERRUPTED)
+        counts.append(stream.progress_count)
+    assert counts == [*range(1, 41), *[40] * 5, *[41] * 10]
--- a/tests/test_engine_streams.py
+++ b/tests/test_engine_streams.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from runspool.limits.answer_progress import MAX_TEXTS_PER_TOKEN
 from tests.node_platform.client import post
 from tests.node_platform.engine import Script
 from tests.node_platform.http_messages import (
@@ -15,6 +16,7 @@
     EVENTS,
     LAST_CHUNK,
     STREAM_HEAD,
+    STREAM_REMAINDER,
     WAIT_TIMEOUT,
     ReceivedRequest,
     chunked,
@@ -153,11 +155,15 @@
 FRUITLESS_REMAINDERS = {
     "empty delta": (b"", chunked(EMPTY_DELTA)),
     "empty content": (b"", chunked(EVENTS[0].replace(b"oq", b""))),
+    "role alone": (b"", chunked(EVENTS[0].replace(b"content", b"role"))),
+    "empty parts": (b"", chunked(EVENTS[0].replace(b'"oq"', b'null,"tool_calls":[],"refusal":""'))),
+    "no delta": (b"", chunked(EVENTS[0].replace(b'{"content":"oq"}', b"null"))),
     "no choices": (b"", chunked(b'data: {"choices":[]}\n\n')),
-    "repeated event": (b"", chunked(EVENTS[0])),
+    "no choices in an endless chunk": (b"c0000000\r\n", b'data: {"choices":[]}\n\n'),
     "repeated usage": (chunked(EVENTS[1]), chunked(USAGE)),
+    "repeated usage with an empty delta": (chunked(USAGE), chunked(USAGE.replace(b"[]", b'[{"delta":{}}]'))),
     "repeated finish reason": (b"", chunked(EVENTS[1])),
-    "repeated event in an endless chunk": (b"c0000000\r\n", EVENTS[0]),
+    "texts after the finish reason": (chunked(EVENTS[1]), chunked(EVENTS[0])),
 }
 
 
@@ -182,6 +188,86 @@
     assert all(ended), ended
 
 
+# The same text counted as nothing only where it repeated the event before it.
+async def test_a_stream_that_goes_on_beyond_what_its_request_allows_ends_within_5_s_of_that(
+    tmp_path: Path,
+) -> None:
+    max_tokens, interval = 4, 0.1
+    async with Platform(tmp_path, PREFILL_AND_DECODE).open() as platform:
+        platform.engines["w"].scripts = [dribbles(STREAM_HEAD, chunked(EVENTS[0]), interval)]
+        client = await platform.client()
+        client.send(post("q1", req_extra=f"prompt_len=40,max_out={max_tokens}"))
+        response = await client.read_head()
+        body = b""
+        while body.count(b"data:") < max_tokens * MAX_TEXTS_PER_TOKEN:
+            body += await client.read_chunk()
+        async with asyncio.timeout(MAX_WAIT_AFTER_EVENT):
+            assert not (await client.read_body(response)).complete
+
+
+def _delta(fields: bytes, rest: bytes = b"") -> bytes:
+    return b'data: {"choices":[{"index":0,"delta":{%b},"finish_reason":null}]%b}\n\n' % (fields, rest)
+
+
+# Events that are each a part of the answer, although they are the same as the ones before them.
+REPEATED_PARTS = {
+    "content": [_delta(b'"content":"--- | "')],
+    "blank content": [_delta(b'"content":"\\n"')],
+    "refusal": [_delta(b'"refusal":"no"')],
+    "reasoning": [_delta(b'"reasoning":"hm"')],
+    "reasoning_content": [_delta(b'"reasoning_content":"hm"')],
+    "tool_calls": [_delta(b'"tool_calls":[{"index":0,"function":{"arguments":" "}}]')],
+    "function_call": [_delta(b'"function_call":{"arguments":" "}')],
+    "audio": [_delta(b'"audio":{"data":"AAAA"}')],
+    "content and usage": [_delta(b'"content":"0"', b',"usage":{"prompt_tokens":40,"completion_tokens":2}')],
+    "two choices in turn": [_delta(b'"content":"0"'), _delta(b'"content":"0"').replace(b":0,", b":1,")],
+    "one choice finished": [EVENTS[1].replace(b":0,", b":1,"), *[_delta(b'"content":"0"')] * 23],
+}
+REPEATED_FOR = 24  # number of events
+REPEATED_INTERVAL = 0.24  # seconds between two events; the whole takes longer than a client waits for one
+
+
+# Streams were cut off 4.95 s after the first of several events with the same text (review/9).
+async def test_a_stream_that_says_the_same_again_and_again_is_forwarded_to_its_end(tmp_path: Path) -> None:
+    def says(events: list[bytes]) -> Script:
+        async def script(request: ReceivedRequest) -> None:
+            await request.send(STREAM_HEAD)
+            for number in range(REPEATED_FOR):
+                await request.send(chunked(events[number % len(events)]))
+                await asyncio.sleep(REPEATED_INTERVAL)
+            await request.send(STREAM_REMAINDER)
+
+        return script
+
+    async with Platform(tmp_path, PREFILL_AND_DECODE).open() as platform:
+        platform.engines["w"].scripts = [says(events) for events in REPEATED_PARTS.values()]
+        responses = await asyncio.gather(
+            *(platform.send_request(post(f"q{index}", req_key="one")) for index in range(len(REPEATED_PARTS)))
+        )
+    assert all(response.complete for response in responses), responses
+    sent = {
+        b"".join(events[number % len(events)] for number in range(REPEATED_FOR)) + b"".join(EVENTS[1:])
+        for events in REPEATED_PARTS.values()
+    }
+    assert {response.body for response in responses} == sent
+
+
+# A stream that said the same three times and then stopped was ended 1.95 s after its last event.
+async def test_a_stream_that_stops_behind_repeated_events_is_left_its_5_s(tmp_path: Path) -> None:
+    async def pauses(request: ReceivedRequest) -> None:
+        await request.send(STREAM_HEAD)
+        for _ in range(3):
+            await request.send(chunked(EVENTS[0]))
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(3.8)
+        await request.send(STREAM_REMAINDER)
+
+    async with Platform(tmp_path, PREFILL_AND_DECODE).open() as platform:
+        platform.engines["w"].scripts = [pauses]
+        response = await platform.send_request(post("q1"))
+    assert (response.complete, response.body) == (True, EVENTS[0] * 2 + b"".join(EVENTS))
+
+
 # A stream was cut 4.1 s after its last event, but its client waits for 5 s.
 async def test_a_stream_whose_events_come_nearly_5_s_apart_is_forwarded_to_its_end(tmp_path: Path) -> None:
     async def sends_slowly(request: ReceivedRequest) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,7 @@
     "drain.asks_rarely",
     "calls.owed",
     "lost.waits",
+    "lost.repeats",
     "twice.forgets",
 )
 TIMEOUT = 90.0  # seconds for one soak, including the ends of its processes
