Each choice of an answer may have as many tokens as its request asked for

A sound engine reaches it with more than four choices: an answer of 8 choices of 5 tokens was cut off. The node now reads `n` of the body, which it decodes anyway; what is no number of choices that an engine accepts (1 to 128) counts as 1, and the engine judges it as before.

--- a/runspool/limits/answer_progress.py
+++ b/runspool/limits/answer_progress.py
@@ -44,13 +44,14 @@
         count: The number of events so far that have brought a part of the answer.
     """
 
-    def __init__(self, max_output_tokens: int) -> None:
+    def __init__(self, max_output_tokens: int, choice_count: int = 1) -> None:
         """Create the progress of an answer that has brought nothing yet.
 
         Args:
             max_output_tokens: The number of tokens that the request asked for; 0 if it set no limit.
+            choice_count: The number of choices that the request asked for, each of that many tokens.
         """
-        self.max_texts = max_output_tokens * MAX_TEXTS_PER_TOKEN
+        self.max_texts = max_output_tokens * choice_count * MAX_TEXTS_PER_TOKEN
         self.count = 0
         self._text_count = 0
         self._finished_choices: set[int] = set()
--- a/runspool/node/engine_client.py
+++ b/runspool/node/engine_client.py
@@ -119,7 +119,7 @@
             A result with the status SUCCEEDED, or one that describes the failure.
         """
         result = AttemptResult(AttemptStatus.SUCCEEDED)
-        progress = AnswerProgress(request.max_output_tokens)
+        progress = AnswerProgress(request.max_output_tokens, request.choice_count)
         events = EventStreamParser(self.settings.line_bytes, progress)
         exchange = Exchange(permit)
         partial_event = self.resources.memory.charge(MemoryKind.RESPONSE)
--- a/runspool/node/request_parser.py
+++ b/runspool/node/request_parser.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from runspool.limits.answer_progress import MAX_CHOICES
 from runspool.limits.charged_body import ChargedBody
 from runspool.runtime.interning import stable_hash
 from runspool.runtime.platform_settings import US_PER_TENTH_MS, PlatformSettings
@@ -23,6 +24,8 @@
 MAX_COST_US = 1e12  # exclusive upper bound of the client's estimate of the work, in microseconds
 # Maximum length of a prompt, in tokens, if the platform does not state the memory of any engine type.
 DEFAULT_MAX_PROMPT_TOKENS = 10**9
+CHOICE_COUNT_FIELD = "n"  # field of the body
+DEFAULT_CHOICE_COUNT = msgspec.Raw(b"1")
 MAX_QUOTED_CHARS = 40  # maximum number of characters of an invalid value that an error message quotes
 
 
@@ -41,6 +44,7 @@
         prompt_tokens: The length of the prompt in tokens; estimated from the body if the client gave none.
         prefix_tokens: The length of the shared prefix in tokens; 0 if unknown.
         max_output_tokens: The client's limit on the number of output tokens; 0 if it gave none.
+        choice_count: The number of choices that the body asks for, each of up to that many tokens.
         expected_output_tokens: The expected number of output tokens; 0 if the client gave no estimate.
         time_limit: How long the client waits for the response, in tenths of a millisecond.
         is_client_retry: Whether the client has sent the request before.
@@ -57,6 +61,7 @@
     prompt_tokens: int
     prefix_tokens: int
     max_output_tokens: int
+    choice_count: int
     expected_output_tokens: int
     time_limit: int
     is_client_retry: bool
@@ -108,7 +113,7 @@
         raise InvalidRequestError("Req-Id", "missing or no id")
     request_class = _parse_request_class(headers.get("req-kind"), settings)
     tenant = _parse_tenant(headers.get("req-owner"), settings)
-    _check_body(body.data)
+    choice_count = _parse_choice_count(_parse_body(body.data))
     extras = _parse_extras(headers.get("req-extra", ""))
     max_tokens = _max_prompt_tokens(settings)
     prompt_tokens = _parse_token_count(
@@ -130,6 +135,7 @@
         prompt_tokens=prompt_tokens,
         prefix_tokens=_parse_token_count(extras, "prefix_len", 0, 0, prompt_tokens) if prefix else 0,
         max_output_tokens=_parse_token_count(extras, "max_out", 0, 0, max_tokens),
+        choice_count=choice_count,
         expected_output_tokens=_parse_cost(headers.get("req-cost")) // time_per_token
         if time_per_token
         else 0,
@@ -154,14 +160,23 @@
     return index
 
 
-def _check_body(body: bytes) -> None:
-    """Check that the body is a JSON object; its content is validated by the engine."""
+def _parse_body(body: bytes) -> dict[str, msgspec.Raw]:
+    """Return the fields of the body, a JSON object; their values are validated by the engine."""
     try:
-        msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+        return msgspec.json.decode(body, type=dict[str, msgspec.Raw])
     except fields.JSON_DECODE_ERRORS as error:
         raise InvalidRequestError("body", f"no JSON object ({error})") from None
 
 
+def _parse_choice_count(parameters: dict[str, msgspec.Raw]) -> int:
+    """Return the number of choices that a body asks for; 1 if it says none that an engine accepts."""
+    try:
+        count: int = msgspec.json.decode(parameters.get(CHOICE_COUNT_FIELD, DEFAULT_CHOICE_COUNT), type=int)
+    except fields.JSON_DECODE_ERRORS:
+        return 1
+    return count if 1 <= count <= MAX_CHOICES else 1
+
+
 def _max_prompt_tokens(settings: PlatformSettings) -> int:
     """Return the capacity of the engine type with the most memory; no engine can serve a longer prompt."""
     largest = max((engine_type.memory_tokens for engine_type in settings.routing.engine_types), default=0)
--- a/tests/test_answer_progress.py
+++ b/tests/test_answer_progress.py
@@ -56,6 +56,16 @@
     assert progress.count == 1
 
 
+def test_each_choice_of_a_request_may_have_all_its_tokens() -> None:
+    choices = [ChoicePart(number, has_text=True, is_finished=False) for number in range(8)]
+    progress = AnswerProgress(20, choice_count=8)
+    for _ in range(20):
+        for choice in choices:
+            former = progress.count
+            progress.record_event([choice], has_usage=False)
+            assert progress.count == former + 1
+
+
 parts = st.sampled_from([TEXT, FINISH, NOTHING, ChoicePart(1, has_text=True, is_finished=False)])
 
 
--- a/tests/test_engine_streams.py
+++ b/tests/test_engine_streams.py
@@ -9,7 +9,7 @@
 import pytest
 
 from runspool.limits.answer_progress import MAX_TEXTS_PER_TOKEN
-from tests.node_platform.client import post
+from tests.node_platform.client import BODY, post
 from tests.node_platform.engine import Script
 from tests.node_platform.http_messages import (
     COMPLETE_STREAM,
@@ -268,6 +268,27 @@
     assert (response.complete, response.body) == (True, EVENTS[0] * 2 + b"".join(EVENTS))
 
 
+# With 8 choices of 5 tokens, an answer of 40 texts is whole: each choice may have what the request asked for.
+async def test_an_answer_of_many_choices_is_forwarded_to_its_end(tmp_path: Path) -> None:
+    choices, tokens = 8, 5
+
+    async def answers(request: ReceivedRequest) -> None:
+        await request.send(STREAM_HEAD)
+        for number in range(choices * tokens):
+            index = b":%d," % (number % choices)
+            await request.send(chunked(EVENTS[0].replace(b":0,", index)))
+            await asyncio.sleep(0.26)
+        await request.send(STREAM_REMAINDER)
+
+    body = BODY.replace(b"{", b'{"n":%d,' % choices, 1)
+    async with Platform(tmp_path, PREFILL_AND_DECODE).open() as platform:
+        platform.engines["w"].scripts = [answers]
+        response = await platform.send_request(
+            post("q1", body=body, req_extra=f"prompt_len=40,max_out={tokens}")
+        )
+    assert response.complete
+
+
 # A stream was cut 4.1 s after its last event, but its client waits for 5 s.
 async def test_a_stream_whose_events_come_nearly_5_s_apart_is_forwarded_to_its_end(tmp_path: Path) -> None:
     async def sends_slowly(request: ReceivedRequest) -> None:
