An empty finish reason does not end a choice

The front's client for completions had it right.

The unit test and the form "empty finish reason" of the repeated parts failed before and pass now.

--- a/runspool/node/event_stream.py
+++ b/runspool/node/event_stream.py
@@ -203,4 +203,5 @@
 
 def _choice_part(choice: _Choice) -> ChoicePart:
     has_text = choice.delta is not None and choice.delta.has_part()
-    return ChoicePart(choice.index, has_text, choice.finish_reason is not None)
+    # Some engines say an empty finish reason, in place of none, with each event before the last.
+    return ChoicePart(choice.index, has_text, bool(choice.finish_reason))
--- a/tests/test_answer_progress.py
+++ b/tests/test_answer_progress.py
@@ -17,6 +17,7 @@
     AnswerProgress,
     ChoicePart,
 )
+from runspool.node.event_stream import EventStreamParser
 from runspool.scheduling.types import AttemptStatus
 
 TEXT = ChoicePart(0, has_text=True, is_finished=False)
@@ -80,6 +81,15 @@
     assert progress.count <= max_tokens * MAX_TEXTS_PER_TOKEN + choices + 1
 
 
+# An empty finish reason in each event was taken for the end of its choice, and the stream was cut off.
+def test_an_empty_finish_reason_does_not_end_a_choice() -> None:
+    progress = AnswerProgress(40)
+    stream = EventStreamParser(1_000, progress)
+    for count in range(1, 20):
+        stream.feed(b'data: {"choices":[{"delta":{"content":"0"},"finish_reason":""}]}\n\n')
+        assert progress.count == count
+
+
 @pytest.mark.anyio
 async def test_a_completion_makes_progress_with_each_text_and_with_nothing_else() -> None:
     async def read_more(exchange: Any, cause: FailureCause) -> None:
--- a/tests/test_engine_streams.py
+++ b/tests/test_engine_streams.py
@@ -220,6 +220,7 @@
     "function_call": [_delta(b'"function_call":{"arguments":" "}')],
     "audio": [_delta(b'"audio":{"data":"AAAA"}')],
     "content and usage": [_delta(b'"content":"0"', b',"usage":{"prompt_tokens":40,"completion_tokens":2}')],
+    "empty finish reason": [_delta(b'"content":"0"').replace(b"null", b'""')],
     "two choices in turn": [_delta(b'"content":"0"'), _delta(b'"content":"0"').replace(b":0,", b":1,")],
     "one choice finished": [EVENTS[1].replace(b":0,", b":1,"), *[_delta(b'"content":"0"')] * 23],
 }
