Any field of a delta but its role is a part of the answer

A part of another name, such as images, counted as nothing, and a stream of them was cut off 4.95 s after its last event with a known part. PROTOCOL.md passes on "the events of one engine's stream, all of them", and engines add names. Now any field of a delta but `role` is a part unless it is empty; what an engine says without end in such a field ends at the request's limit on texts, as for the known names.

--- a/runspool/node/event_stream.py
+++ b/runspool/node/event_stream.py
@@ -19,6 +19,7 @@
 EVENT_END = re.compile(rb"\n\r?\n|\r\r\n?")
 # First bytes of the lines that the parser ignores: comments, and the fields other than "data".
 IGNORED_FIELDS = (b":", b"event:", b"id:", b"retry:")
+ROLE_FIELD = "role"  # the field of a delta that is no part of the answer
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,34 +57,17 @@
     prompt_tokens_details: _PromptTokensDetails | None = None
 
 
-class _Delta(msgspec.Struct):
-    """The parts of an answer; other fields, such as its role, bring the client nothing."""
-
-    content: object = None
-    refusal: object = None
-    reasoning: object = None
-    reasoning_content: object = None
-    tool_calls: object = None
-    function_call: object = None
-    audio: object = None
-
-    def has_part(self) -> bool:
-        return bool(
-            self.content
-            or self.tool_calls
-            or self.refusal
-            or self.reasoning
-            or self.reasoning_content
-            or self.function_call
-            or self.audio
-        )
-
-
 class _Choice(msgspec.Struct):
     index: int = 0
-    delta: _Delta | None = None
+    delta: dict[str, object] | None = None
     finish_reason: str | None = None
 
+    def has_part(self) -> bool:
+        """Return whether the delta has a part of the answer: any field but the role that is not empty."""
+        return self.delta is not None and any(
+            value for name, value in self.delta.items() if name != ROLE_FIELD
+        )
+
 
 class _Event(msgspec.Struct):
     choices: list[_Choice]
@@ -202,6 +186,5 @@
 
 
 def _choice_part(choice: _Choice) -> ChoicePart:
-    has_text = choice.delta is not None and choice.delta.has_part()
     # Some engines say an empty finish reason, in place of none, with each event before the last.
-    return ChoicePart(choice.index, has_text, bool(choice.finish_reason))
+    return ChoicePart(choice.index, choice.has_part(), bool(choice.finish_reason))
--- a/tests/test_engine_streams.py
+++ b/tests/test_engine_streams.py
@@ -219,6 +219,7 @@
     "tool_calls": [_delta(b'"tool_calls":[{"index":0,"function":{"arguments":" "}}]')],
     "function_call": [_delta(b'"function_call":{"arguments":" "}')],
     "audio": [_delta(b'"audio":{"data":"AAAA"}')],
+    "a part of another name": [_delta(b'"content":null,"images":["AAAA"]')],
     "content and usage": [_delta(b'"content":"0"', b',"usage":{"prompt_tokens":40,"completion_tokens":2}')],
     "empty finish reason": [_delta(b'"content":"0"').replace(b"null", b'""')],
     "two choices in turn": [_delta(b'"content":"0"'), _delta(b'"content":"0"').replace(b":0,", b":1,")],
