--- a/runspool/engines/completions_client.py
+++ b/runspool/engines/completions_client.py
@@ -19,6 +19,7 @@
 from runspool.engines.idle_watchdog import WatchedWait
 from runspool.engines.response_parser import ResponseParser
 from runspool.engines.send_permit import SendPermit
+from runspool.limits.answer_progress import MAX_TEXTS_PER_TOKEN
 from runspool.scheduling.types import AttemptStatus, LoadReport
 from runspool.transport.tcp import connect
 from runspool.wire import engine_messages as wire
@@ -128,8 +129,8 @@
                 token only the idle timeout applies.
             permit: Asked before the first and the last byte of the request are sent, and notified when the
                 request has been sent and when the first byte of the response arrives.
-            max_output_tokens: Maximum number of pieces of text in the response. Engines send one for each
-                token; a response with more pieces is treated as malformed.
+            max_output_tokens: The number of tokens that the request asks for. Engines usually send a piece of
+                text for each; a response with over MAX_TEXTS_PER_TOKEN times as many is malformed.
             listener: Receives the text.
 
         Returns:
@@ -266,7 +267,7 @@
         self.progress_count = 0
         self._read_more = read_more
         self._result = result
-        self._max_output_tokens = max_output_tokens
+        self._max_texts = max_output_tokens * MAX_TEXTS_PER_TOKEN
         self._events = wire.EventSplitter(max_line_bytes)
 
     async def read_first(self, exchange: Exchange) -> str:
@@ -281,7 +282,7 @@
 
         Raises:
             ExchangeAbortedError: The connection was lost (with the cause `cause_if_closed`), or the engine
-                has sent an error or more than `max_output_tokens` pieces of text.
+                has sent an error or more pieces of text than a sound one sends.
             wire.MalformedResponseError: An event cannot be parsed.
         """
         response = exchange.response
@@ -298,9 +299,9 @@
                 self.ended = True
                 break
             self._read_event(event, texts)
-        if self._result.output_tokens > self._max_output_tokens:
+        if self._result.output_tokens > self._max_texts:
             raise ExchangeAbortedError(
-                FailureCause.MALFORMED_RESPONSE, f"response exceeds {self._max_output_tokens} tokens"
+                FailureCause.MALFORMED_RESPONSE, f"response exceeds {self._max_texts} pieces of text"
             )
         return "".join(texts)
 
