The raw client of the tests no longer loses the end of its time as a chunk arrives

test_a_node_that_violates_a_rule_is_detected[lost.waits] failed in some runs because its soak took over 90 s. Cause: the client read each chunk with asyncio.wait_for(), which in Python 3.11 drops a cancellation if the data arrives at the same time. A client at a stream without end then read for ever, and the soak waited for it; its nodes were found alive half an hour later. The client uses asyncio.timeout(), with the same bounds.

--- a/tests/node_platform/client.py
+++ b/tests/node_platform/client.py
@@ -49,14 +49,18 @@
 
     async def read_head(self) -> Response:
         """Read a response's status and headers."""
-        head = await asyncio.wait_for(self.reader.readuntil(b"\r\n\r\n"), WAIT_TIMEOUT)
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            head = await self.reader.readuntil(b"\r\n\r\n")
         lines = head.decode().split("\r\n")
         return Response(int(lines[0].split(" ")[1]), parse_headers(lines[1:-2]), b"", False)
 
     async def read_chunk(self) -> bytes:
         """Return the data of the next chunk; it is empty for the last chunk."""
-        size = int(await asyncio.wait_for(self.reader.readuntil(b"\r\n"), WAIT_TIMEOUT), 16)
-        data = await asyncio.wait_for(self.reader.readexactly(size + 2), WAIT_TIMEOUT)
+        # Not asyncio.wait_for(): in Python 3.11 it drops a cancellation if data arrives at the same time.
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            size = int(await self.reader.readuntil(b"\r\n"), 16)
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            data = await self.reader.readexactly(size + 2)
         return data[:-2]
 
     async def read_body(self, response: Response) -> Response:
@@ -67,7 +71,8 @@
                     response.body += data
             else:
                 length = int(response.headers.get("content-length", "0"))
-                response.body = await asyncio.wait_for(self.reader.readexactly(length), WAIT_TIMEOUT)
+                async with asyncio.timeout(WAIT_TIMEOUT):
+                    response.body = await self.reader.readexactly(length)
             response.complete = True
         except (OSError, asyncio.IncompleteReadError):
             pass
@@ -80,7 +85,8 @@
     async def read_to_close(self) -> bytes:
         """Return all bytes received until the node closes the connection; none if it resets it."""
         try:
-            return await asyncio.wait_for(self.reader.read(), WAIT_TIMEOUT)
+            async with asyncio.timeout(WAIT_TIMEOUT):
+                return await self.reader.read()
         except ConnectionError:
             return b""
 
