Refusals, parameters of a body and the progress of an answer have one piece of code each

A refusal is a value, so those without a variable part are constants. - The front's handler had a class of its own for the refusal of a field; it uses HttpRefusal. - The node decoded `n` of a body itself, also where the body has none; both protocols now use parse_parameter, which moves from wire/completions.py to wire/fields.py. - The client for completions counted texts and the first finish reason beside AnswerProgress, and multiplied the same limit; it uses AnswerProgress. The usage still ends no wait there. - MemoryCharge kept its kind and the name of its kind.

--- a/runspool/engines/completions_client.py
+++ b/runspool/engines/completions_client.py
@@ -19,7 +19,7 @@
 from runspool.engines.idle_watchdog import WatchedWait
 from runspool.engines.response_parser import ResponseParser
 from runspool.engines.send_permit import SendPermit
-from runspool.limits.answer_progress import MAX_TEXTS_PER_TOKEN
+from runspool.limits.answer_progress import AnswerProgress, ChoicePart
 from runspool.scheduling.types import AttemptStatus, LoadReport
 from runspool.transport.tcp import connect
 from runspool.wire import engine_messages as wire
@@ -32,6 +32,7 @@
 # Maximum number of socket reads after a response's last token. The connection can be reused only if the
 # response ends within them.
 MAX_TRAILING_READS = 8
+ONLY_CHOICE = 0  # number of the choice of an answer; a request asks for one
 STREAM_END = b"[DONE]"  # data of the last event of a stream
 
 
@@ -130,7 +131,7 @@
             permit: Asked before the first and the last byte of the request are sent, and notified when the
                 request has been sent and when the first byte of the response arrives.
             max_output_tokens: The number of tokens that the request asks for. Engines usually send a piece of
-                text for each; a response with over MAX_TEXTS_PER_TOKEN times as many is malformed.
+                text for each; a response with many times more is malformed (see AnswerProgress).
             listener: Receives the text.
 
         Returns:
@@ -215,7 +216,7 @@
             await listener.data_received(text)
         wait.waiting_since = self.now()
         while not stream.ended:
-            former_progress = stream.progress_count
+            former_progress = stream.progress.count
             try:
                 text = await stream.read(exchange, FailureCause.STREAM_INTERRUPTED)
             except ExchangeAbortedError:
@@ -225,7 +226,7 @@
             if text:
                 wait.waiting_since = 0  # the client may take its time
                 await listener.data_received(text)
-            if stream.progress_count > former_progress:  # other bytes and events may go on for ever
+            if stream.progress.count > former_progress:  # other bytes and events may go on for ever
                 wait.waiting_since = self.now()
 
     async def _read_trailing_bytes(self, exchange: Exchange) -> None:
@@ -251,7 +252,7 @@
         started: Set by the caller immediately before the first text is forwarded.
         finished: True once the finish reason was received, which completes the text.
         ended: True once the end of the stream was received.
-        progress_count: The number of pieces of text, and of first finish reasons, received.
+        progress: Told of every choice of an event; it says which of them bring a part of the answer.
     """
 
     def __init__(
@@ -264,10 +265,9 @@
         self.started = False
         self.finished = False
         self.ended = False
-        self.progress_count = 0
+        self.progress = AnswerProgress(max_output_tokens)
         self._read_more = read_more
         self._result = result
-        self._max_texts = max_output_tokens * MAX_TEXTS_PER_TOKEN
         self._events = wire.EventSplitter(max_line_bytes)
 
     async def read_first(self, exchange: Exchange) -> str:
@@ -299,9 +299,9 @@
                 self.ended = True
                 break
             self._read_event(event, texts)
-        if self._result.output_tokens > self._max_texts:
+        if self._result.output_tokens > self.progress.max_texts:
             raise ExchangeAbortedError(
-                FailureCause.MALFORMED_RESPONSE, f"response exceeds {self._max_texts} pieces of text"
+                FailureCause.MALFORMED_RESPONSE, f"response exceeds {self.progress.max_texts} pieces of text"
             )
         return "".join(texts)
 
@@ -323,12 +323,13 @@
             result.cached_tokens = completion.usage.cached_tokens
             result.prompt_tokens = completion.usage.prompt_tokens
         for choice in completion.choices:
+            # The usage is no part that the client waits for: it is not forwarded.
+            part = ChoicePart(ONLY_CHOICE, bool(choice.text), bool(choice.finish_reason))
+            self.progress.record_event([part], has_usage=False)
             if choice.text and not self.finished:
                 result.output_tokens += 1  # engines send each token as a piece of text of its own
-                self.progress_count += 1
                 texts.append(choice.text)
             if choice.finish_reason:
-                self.progress_count += not self.finished
                 self.finished = True
                 result.finish_reason = choice.finish_reason
 
--- a/runspool/limits/memory_account.py
+++ b/runspool/limits/memory_account.py
@@ -69,11 +69,10 @@
         size: The number of bytes charged.
     """
 
-    __slots__ = ("_account", "_kind", "_kind_name", "size")
+    __slots__ = ("_account", "_kind_name", "size")
 
     def __init__(self, account: MemoryAccount, kind: MemoryKind) -> None:
         self._account = account
-        self._kind = kind
         self._kind_name = kind.value
         self.size = 0
 
@@ -86,7 +85,7 @@
 
     def split(self, size: int) -> MemoryCharge:
         """Move up to `size` bytes to a new charge of the same kind; the account does not change."""
-        part = MemoryCharge(self._account, self._kind)
+        part = MemoryCharge(self._account, MemoryKind(self._kind_name))
         part.size = min(size, self.size)
         self.size -= part.size
         return part
--- a/runspool/node/request_handler.py
+++ b/runspool/node/request_handler.py
@@ -36,7 +36,9 @@
 REJECTED_STATUS = 503
 INDETERMINATE_STATUS = 500
 
-
+NO_ROOM = HttpRefusal(
+    503, "connections", "this server has no room for incomplete requests; ask again", PeerLimit.CLIENTS
+)
 # A connection that waits for its first request, or for the rest of one, keeps its place for this time, in
 # tenths of a millisecond.
 INCOMPLETE_REQUEST_TIME = 500
@@ -154,7 +156,7 @@
             case Claim.SLOW_READER:
                 self.disconnect_reader()
             case _ if self.has_partial_request:
-                self.refuse_part(_no_room(), lingers=False)
+                self.refuse_part(NO_ROOM, lingers=False)
             case _:
                 return self.stop_waiting_for_request()
         self._has_given_up_place = True
@@ -297,12 +299,6 @@
             await self.send_response(INDETERMINATE_STATUS, self.error_body(final.code, final.message))
 
 
-def _no_room() -> HttpRefusal:
-    return HttpRefusal(
-        503, "connections", "this server has no room for incomplete requests; ask again", PeerLimit.CLIENTS
-    )
-
-
 class EventStreamResponse(StreamingResponse):
     """An engine's event stream, forwarded unchanged as a chunked response."""
 
--- a/runspool/node/request_parser.py
+++ b/runspool/node/request_parser.py
@@ -25,7 +25,6 @@
 # Maximum length of a prompt, in tokens, if the platform does not state the memory of any engine type.
 DEFAULT_MAX_PROMPT_TOKENS = 10**9
 CHOICE_COUNT_FIELD = "n"  # field of the body
-DEFAULT_CHOICE_COUNT = msgspec.Raw(b"1")
 MAX_QUOTED_CHARS = 40  # maximum number of characters of an invalid value that an error message quotes
 
 
@@ -171,8 +170,8 @@
 def _parse_choice_count(parameters: dict[str, msgspec.Raw]) -> int:
     """Return the number of choices that a body asks for; 1 if it says none that an engine accepts."""
     try:
-        count: int = msgspec.json.decode(parameters.get(CHOICE_COUNT_FIELD, DEFAULT_CHOICE_COUNT), type=int)
-    except fields.JSON_DECODE_ERRORS:
+        count = fields.parse_parameter(parameters, CHOICE_COUNT_FIELD, int, 1)
+    except InvalidRequestError:
         return 1
     return count if 1 <= count <= MAX_CHOICES else 1
 
--- a/runspool/service/completions_handler.py
+++ b/runspool/service/completions_handler.py
@@ -8,7 +8,6 @@
 import math
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import anyio
 import msgspec
@@ -24,7 +23,13 @@
 from runspool.wire import completions as wire
 from runspool.wire.completions import CompletionRequest
 from runspool.wire.fields import InvalidRequestError
-from runspool.wire.http_requests import LAST_CHUNK, HttpRequest, encode_chunk, encode_response_head
+from runspool.wire.http_requests import (
+    LAST_CHUNK,
+    HttpRefusal,
+    HttpRequest,
+    encode_chunk,
+    encode_response_head,
+)
 
 # A rejection invites a retry. An indeterminate response needs a status that client libraries do not retry
 # automatically: a retry could execute a request twice that must run at most once.
@@ -32,15 +37,6 @@
 INDETERMINATE_STATUS = 424
 
 
-@dataclass(frozen=True, slots=True)
-class _InvalidField:
-    """A request's field that is invalid or missing, and the error response to it."""
-
-    status: int
-    name: str
-    message: str
-
-
 class CompletionsHandler(HttpConnection):
     """Serves the front's HTTP endpoints on one client connection."""
 
@@ -99,8 +95,8 @@
 
     async def _serve_completion(self, request: HttpRequest, received_at: int) -> None:
         completion = self._parse_completion(request)
-        if isinstance(completion, _InvalidField):
-            await self.send_response(completion.status, self.error_body(completion.name, completion.message))
+        if isinstance(completion, HttpRefusal):
+            await self.send_response(completion.status, self.error_body(completion.code, completion.message))
             return
         response = _EventStreamResponse(self) if completion.stream else _BufferedResponse()
         pending = self._submit(completion, response, received_at)
@@ -112,7 +108,7 @@
         final = await self.wait_for_final_response(self.front, pending, stream)
         await self._send_final_response(pending, response, final)
 
-    def _parse_completion(self, request: HttpRequest) -> CompletionRequest | _InvalidField:
+    def _parse_completion(self, request: HttpRequest) -> CompletionRequest | HttpRefusal:
         """Parse a request. Nothing is sent here, as the traceback of an error refers to the body."""
         try:
             completion = wire.parse_completion_request(
@@ -121,7 +117,7 @@
             if completion.stream and request.version == "1.0":
                 raise InvalidRequestError("stream", "an answer in parts needs HTTP/1.1", 505)
         except InvalidRequestError as error:
-            return _InvalidField(error.status, error.field_name, str(error))
+            return HttpRefusal(error.status, error.field_name, str(error))
         return completion
 
     def _submit(
--- a/runspool/service/http_connection.py
+++ b/runspool/service/http_connection.py
@@ -39,6 +39,14 @@
 # closed. Closing a socket with unread bytes resets the connection, and the client might lose the response.
 LINGER_SECONDS = 1.0  # maximum time for which bytes are discarded
 PARSE_BYTES = 2_048  # maximum number of bytes that are parsed in one unit of work
+HEAD_TOOK_TOO_LONG = HttpRefusal(
+    408, "head_time", "the request's head took too long", PeerLimit.REQUEST_HEAD_TIME
+)
+BODY_TOOK_TOO_LONG = HttpRefusal(408, "body_time", "the body took too long", PeerLimit.REQUEST_BODY_TIME)
+REFUSED_AT_SHUTDOWN = HttpRefusal(503, "closing", "this server is stopping; ask another")
+REFUSED_FOR_MEMORY = HttpRefusal(
+    503, "memory", "this server holds too many large requests; ask again", PeerLimit.MEMORY
+)
 
 
 class ConnectionLimits(Protocol):
@@ -207,10 +215,10 @@
         """
         if self._body_scope is not None:
             if not self.tcp.has_unread_input():
-                self._refusal = _refused_at_shutdown()
+                self._refusal = REFUSED_AT_SHUTDOWN
                 self._body_scope.cancel()
         elif self._head_started and self.stop_waiting_for_request(even_if_head_started=True):
-            self._refusal = _refused_at_shutdown()
+            self._refusal = REFUSED_AT_SHUTDOWN
 
     @property
     def reclaimable_bytes(self) -> int:
@@ -239,7 +247,7 @@
         elif self._open_response is not None:
             self.tcp.discard_input()
         else:
-            self.refuse_part(_refused_for_memory())
+            self.refuse_part(REFUSED_FOR_MEMORY)
 
     def holds_open_request(self) -> bool:
         """Charge what it takes to serve a complete request; return False if there is no memory for it."""
@@ -404,7 +412,7 @@
                         await self._parse_more()
                     except ConnectionClosedError:
                         if self._head_started:
-                            raise InvalidHttpRequestError(self._refusal or _ends_early("head")) from None
+                            raise self._incomplete_request_error(_ends_early("head")) from None
                         return None
                     if not self._head_started:
                         self._head_started, scope.deadline = True, self._deadline_after(self.limits.head_ms)
@@ -412,12 +420,7 @@
                 self._head_scope = None
         if scope.cancelled_caught:
             if self._head_started:
-                raise InvalidHttpRequestError(
-                    self._refusal
-                    or HttpRefusal(
-                        408, "head_time", "the request's head took too long", PeerLimit.REQUEST_HEAD_TIME
-                    )
-                )
+                raise self._incomplete_request_error(HEAD_TOOK_TOO_LONG)
             # A request may have arrived just as the wait ended. It was received, so it must be answered.
             return await self._read_head() if self.tcp.has_buffered_data else None
         return ready[0]
@@ -452,14 +455,15 @@
                     try:
                         await self._parse_more()
                     except ConnectionClosedError:
-                        raise InvalidHttpRequestError(self._refusal or _ends_early("body")) from None
+                        raise self._incomplete_request_error(_ends_early("body")) from None
                 return
             finally:
                 self._body_scope = None
-        raise InvalidHttpRequestError(
-            self._refusal
-            or HttpRefusal(408, "body_time", "the body took too long", PeerLimit.REQUEST_BODY_TIME)
-        )
+        raise self._incomplete_request_error(BODY_TOOK_TOO_LONG)
+
+    def _incomplete_request_error(self, refusal: HttpRefusal) -> InvalidHttpRequestError:
+        """Return the error for an incomplete request; an earlier refusal of it takes precedence."""
+        return InvalidHttpRequestError(self._refusal or refusal)
 
     async def send_response(
         self, status: int, body: bytes, headers: list[tuple[str, str]] | None = None
@@ -534,13 +538,3 @@
 
 def _ends_early(part: str) -> HttpRefusal:
     return HttpRefusal(400, "malformed", f"the {part} ends early")
-
-
-def _refused_at_shutdown() -> HttpRefusal:
-    return HttpRefusal(503, "closing", "this server is stopping; ask another")
-
-
-def _refused_for_memory() -> HttpRefusal:
-    return HttpRefusal(
-        503, "memory", "this server holds too many large requests; ask again", PeerLimit.MEMORY
-    )
--- a/runspool/wire/completions.py
+++ b/runspool/wire/completions.py
@@ -9,7 +9,6 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import TypeVar
 
 import msgspec
 
@@ -18,8 +17,6 @@
 from runspool.wire import fields
 from runspool.wire.fields import BYTES_PER_TOKEN, JSON_DECODE_ERRORS, InvalidRequestError
 
-Value = TypeVar("Value")
-
 DEFAULT_OUTPUT_TOKENS = 256  # default for a body without `max_tokens`
 MAX_OUTPUT_TOKENS = 1_000_000  # largest value accepted for `max_tokens`
 MAX_PROMPT_TOKENS = 100_000_000  # largest value accepted for the header `runspool-prompt-tokens`
@@ -94,7 +91,7 @@
         headers, "runspool-prompt-tokens", estimated_tokens, 1, MAX_PROMPT_TOKENS
     )
     max_output_tokens = _parse_max_output_tokens(parameters)
-    if _parse_parameter(parameters, "n", int, 1) != 1:
+    if fields.parse_parameter(parameters, "n", int, 1) != 1:
         raise InvalidRequestError("n", "only one answer a query is made")
     prefix = _parse_name_header(headers, "runspool-beginning")
     prefix_tokens = _parse_integer_header(headers, "runspool-beginning-tokens", 0, 0, prompt_tokens)
@@ -117,7 +114,7 @@
         client_attempt=_parse_name_header(headers, "runspool-mark") or "",
         is_continuation=headers.get("runspool-again", "0") == "1",
         is_client_retry=_parse_integer_header(headers, "runspool-try", 1, 1, MAX_CLIENT_ATTEMPTS) > 1,
-        stream=_parse_parameter(parameters, "stream", bool, False),
+        stream=fields.parse_parameter(parameters, "stream", bool, False),
         body_bytes=len(body),
         body=parameters,
     )
@@ -135,7 +132,7 @@
 
 
 def _parse_max_output_tokens(parameters: dict[str, msgspec.Raw]) -> int:
-    tokens = _parse_parameter(parameters, "max_tokens", int, DEFAULT_OUTPUT_TOKENS)
+    tokens = fields.parse_parameter(parameters, "max_tokens", int, DEFAULT_OUTPUT_TOKENS)
     if not 1 <= tokens <= MAX_OUTPUT_TOKENS:
         raise InvalidRequestError("max_tokens", f"{tokens} is not from 1 to {MAX_OUTPUT_TOKENS}")
     return tokens
@@ -167,20 +164,6 @@
     return fields.parse_name(headers.get(name), name)
 
 
-def _parse_parameter(
-    parameters: dict[str, msgspec.Raw], name: str, value_type: type[Value], default: Value
-) -> Value:
-    """Return a parameter of the body; null is treated as absent, as in the published API."""
-    raw = parameters.get(name)
-    if raw is None:
-        return default
-    try:
-        value: Value | None = msgspec.json.decode(raw, type=value_type | None)
-    except JSON_DECODE_ERRORS as error:
-        raise InvalidRequestError(name, str(error)) from None
-    return default if value is None else value
-
-
 def _estimate_prompt_tokens(parameters: dict[str, msgspec.Raw]) -> int:
     """Return the prompt's length in tokens: exact for a list of tokens, estimated by its bytes for a text."""
     raw = parameters.get("prompt")
--- a/runspool/wire/fields.py
+++ b/runspool/wire/fields.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TypeVar
+
 import msgspec
 
 from runspool.errors import RunspoolError
@@ -15,6 +17,8 @@
 BYTES_PER_TOKEN = 4  # used to estimate the length of a text whose token count the client does not state
 BAD_REQUEST = 400  # HTTP status
 
+Value = TypeVar("Value")
+
 
 class InvalidRequestError(RunspoolError):
     """A request has an invalid or missing field.
@@ -64,3 +68,27 @@
     if value is not None and not 0 < len(value) <= MAX_NAME_LENGTH:
         raise InvalidRequestError(field_name, f"must have 1 to {MAX_NAME_LENGTH} bytes")
     return value
+
+
+def parse_parameter(
+    parameters: dict[str, msgspec.Raw], name: str, value_type: type[Value], default: Value
+) -> Value:
+    """Return a parameter of a JSON body; null is treated as absent, as in the published API.
+
+    Args:
+        parameters: The parameters of the body by name, undecoded.
+        name: Name of the parameter.
+        value_type: Type of its value.
+        default: Value returned if the parameter is absent.
+
+    Raises:
+        InvalidRequestError: The value is of another type.
+    """
+    raw = parameters.get(name)
+    if raw is None:
+        return default
+    try:
+        value: Value | None = msgspec.json.decode(raw, type=value_type | None)
+    except JSON_DECODE_ERRORS as error:
+        raise InvalidRequestError(name, str(error)) from None
+    return default if value is None else value
--- a/runspool/wire/http_requests.py
+++ b/runspool/wire/http_requests.py
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpRefusal:
-    """The error response to a request after which its connection must be closed.
+    """The error response to a request that is refused before it is accepted.
 
     Unlike an error it has no traceback, whose frames would keep the request alive. It may be stored.
 
--- a/tests/test_answer_progress.py
+++ b/tests/test_answer_progress.py
@@ -102,7 +102,7 @@
     counts = []
     for _ in bodies:
         await stream.read(exchange, FailureCause.STREAM_INTERRUPTED)
-        counts.append(stream.progress_count)
+        counts.append(stream.progress.count)
     return counts
 
 
