The soak works an answer out once for each client, and compares only what has come

A client worked its answer out twice and the engine drew its duration again; the answer now carries its pace and the client keeps it. The events are those of the stand-ins of the other tests, and the forms of endless answers stand in one table. A client compared the whole stream so far with each chunk (its twin from before the change); it compares the chunk. What is judged is the same.

--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -11,6 +11,7 @@
 from random import Random
 
 from runspool.limits.answer_progress import MAX_TEXTS_PER_TOKEN
+from tests.node_platform.http_messages import EVENTS
 
 EVENT_INTERVAL = 0.1  # seconds between two events of a long stream
 MIN_TEXTS = 4
@@ -19,8 +20,7 @@
 RUNS_SHARE = 0.3  # share of the answers whose texts are the same RUN_LENGTH times on end
 RUN_LENGTH = 5
 SMALL_LIMIT = 2  # tokens that are asked for where an engine goes on beyond its request
-USAGE_EVENT = b'data: {"choices":[],"usage":{"prompt_tokens":40,"completion_tokens":8}}\n\n'
-END_EVENT = b"data: [DONE]\n\n"
+TEXT_EVENT, _, USAGE_EVENT, END_EVENT = EVENTS
 
 
 class EndlessForm(Enum):
@@ -33,25 +33,31 @@
     SAME_TEXT = "same_text"  # beyond what its request allows
 
 
+# The events that are repeated, and whether the first of them brings a part of the answer.
+REPEATED_EVENTS = {
+    EndlessForm.EMPTY_DELTA: (b'data: {"choices":[{"index":0,"delta":{}}]}\n\n', False),
+    EndlessForm.NO_CHOICES: (b'data: {"choices":[]}\n\n', False),
+    EndlessForm.USAGE: (USAGE_EVENT, True),
+    EndlessForm.END: (END_EVENT, True),
+}
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """One answer.
 
     Attributes:
         events: The events that bring the client a part of the answer, in order.
+        interval: The time between two of them at a healthy engine, in seconds.
         repeated: The event that follows them without end; empty if the answer ends with them.
         max_tokens: The number of tokens that the request asks for.
     """
 
     events: list[bytes]
+    interval: float
     repeated: bytes
     max_tokens: int
 
-    @property
-    def body(self) -> bytes:
-        """The bytes of all events that bring a part."""
-        return b"".join(self.events)
-
 
 def answer_to(request: str, duration: float, form: EndlessForm | None) -> Answer:
     """Return the answer that every engine gives to a request.
@@ -63,21 +69,18 @@
     """
     count = max(MIN_TEXTS + len(request) % 3, int(duration / EVENT_INTERVAL))
     texts = _texts(request, count)
-    max_tokens = TOKENS_PER_TEXT * count
+    max_tokens, repeated = TOKENS_PER_TEXT * count, b""
     if form is None:
-        return Answer([*texts, END_EVENT], b"", max_tokens)
-    if form is EndlessForm.SAME_TEXT:
-        return Answer([texts[0]] * (SMALL_LIMIT * MAX_TEXTS_PER_TOKEN), texts[0], SMALL_LIMIT)
-    begun = texts[: count // 2]
-    match form:
-        case EndlessForm.USAGE:
-            return Answer([*begun, USAGE_EVENT], USAGE_EVENT, max_tokens)
-        case EndlessForm.END:
-            return Answer([*begun, END_EVENT], END_EVENT, max_tokens)
-        case EndlessForm.NO_CHOICES:
-            return Answer(begun, b'data: {"choices":[]}\n\n', max_tokens)
-        case EndlessForm.EMPTY_DELTA:
-            return Answer(begun, b'data: {"choices":[{"index":0,"delta":{}}]}\n\n', max_tokens)
+        events = [*texts, END_EVENT]
+    elif form is EndlessForm.SAME_TEXT:
+        max_tokens, repeated = SMALL_LIMIT, texts[0]
+        events = [repeated] * (max_tokens * MAX_TEXTS_PER_TOKEN)
+    else:
+        repeated, brings_a_part = REPEATED_EVENTS[form]
+        events = texts[: count // 2]
+        if brings_a_part:
+            events.append(repeated)
+    return Answer(events, min(EVENT_INTERVAL, duration / len(events)), repeated, max_tokens)
 
 
 def _texts(request: str, count: int) -> list[bytes]:
@@ -85,7 +88,4 @@
     draw = Random(f"{request}.texts").random()
     run = count if draw < SAME_TEXT_SHARE else RUN_LENGTH if draw < SAME_TEXT_SHARE + RUNS_SHARE else 1
     words = [sha256(f"{request}.{index // run}".encode()).hexdigest()[:8] for index in range(count)]
-    return [
-        b'data: {"choices":[{"index":0,"delta":{"content":"%b"},"finish_reason":null}]}\n\n' % word.encode()
-        for word in words
-    ]
+    return [TEXT_EVENT.replace(b"oq", word.encode()) for word in words]
--- a/tests/soak/client_workload.py
+++ b/tests/soak/client_workload.py
@@ -9,6 +9,7 @@
 
 from tests.fault_proxy import HOST
 from tests.node_platform.client import Client, post
+from tests.soak.answers import Answer
 from tests.soak.environment import Environment
 from tests.soak.nodes import SoakNode
 
@@ -125,14 +126,14 @@
         deadline = self.random.choice(DEADLINE_SHARES) * self.environment.conditions.longest_deadline
         body = b'{"prompt":"%b"}' % name.encode()
         client, new = await self._connection(node)
-        max_tokens = self.environment.conditions.answer(name).max_tokens
+        answer = self.environment.conditions.answer(name)
         data = post(
             name,
             kind,
             body,
             req_deadline=f"{int(deadline * 1000)}m",
             req_key=f"k{self.request_count % 40}",
-            req_extra=f"prefix=5c0f,prompt_len=40,prefix_len=8,max_out={max_tokens}",
+            req_extra=f"prefix=5c0f,prompt_len=40,prefix_len=8,max_out={answer.max_tokens}",
         )
         if self.random.random() < SPLIT_REQUEST_SHARE:
             client.send(data[:200])
@@ -153,7 +154,7 @@
         how, status, waited = "late", 0, deadline + GRACE + LONGEST_WAIT
         try:
             async with asyncio.timeout(deadline + GRACE + LONGEST_WAIT):
-                status, how, waited = await self._read_response(client, name)
+                status, how, waited = await self._read_response(client, name, answer)
         except TimeoutError:
             pass
         except (OSError, asyncio.IncompleteReadError):
@@ -178,24 +179,24 @@
             await client.read_response()
         client.close()
 
-    async def _read_response(self, client: Client, name: str) -> tuple[int, str, float]:
+    async def _read_response(self, client: Client, name: str, answer: Answer) -> tuple[int, str, float]:
         """Read a response; return its status, how it ended, and for how long it last brought nothing.
 
         It ends as "wrong" (not the stream of this request), "cut" (incomplete), "last" (complete, and the
         node closes the connection) or "whole" (complete, and the connection stays open).
         """
         response = await client.read_head()
-        expected = self.environment.conditions.answer(name).body
+        expected = b"".join(answer.events)
         loop = asyncio.get_running_loop()
         progress_at, received = loop.time(), 0  # number of bytes of the expected stream
         if response.status == 200:
             self.environment.record("begun", request=name)
             with suppress(OSError, asyncio.IncompleteReadError):
                 while data := await client.read_chunk():
+                    if received == len(response.body):  # all before it was expected
+                        new = len(commonprefix([expected[received : received + len(data)], data]))
+                        progress_at, received = loop.time() if new else progress_at, received + new
                     response.body += data
-                    prefix = len(commonprefix([expected, response.body]))
-                    if prefix > received:
-                        progress_at, received = loop.time(), prefix
                 response.complete = True
         else:
             response = await client.read_body(response)
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -205,13 +205,12 @@
         self.environment.drop_state(name)
         writer.write(STREAM_HEAD)
         answer = self.environment.conditions.answer(name)
-        interval = min(EVENT_INTERVAL, self.environment.conditions.stream_duration(name) / len(answer.events))
         for number, event in enumerate(answer.events, 1):
             await self.running.wait()
             writer.write(chunked(event))
             if answer.repeated and number == len(answer.events):
                 self.environment.record("fruitless", engine=self.name, request=name)
-            await asyncio.sleep(interval * self.slowdown)
+            await asyncio.sleep(answer.interval * self.slowdown)
         if answer.repeated:
             await self._repeat_event(answer.repeated, writer)
         writer.write(LAST_CHUNK)
