A node accepts requests as it listens, and holds them until it has a list

Cause: NodeServer.run opened its listener, and only then waited for the first endpoint list, up to 1.5 s, before it accepted. The kernel accepts connections and data for a listening socket, so requests were taken that nobody had read and whose deadlines no timer guarded. Not the kill: a first start broke in the same way, and so did an agent that refuses, fails or answers after 2 s.

Now connections are accepted and requests are read as soon as the node listens. A request is accepted, charged and guarded as any other; only its submission to the scheduler waits (RequestHold) for the list, the end of the 1.5 s or a stop. A held request whose time ends is rejected with 503 13 ms before it does. /_health says 503 until the hold ends. Other designs: to listen only after the wait loses the requests of the first 1.5 s that are served today; to refuse during the wait serves nobody.

The process now reports the delay from the arrival of a request's last byte to the guard (deadline_guarded_late, longest_guard_delay_ms), which no log told before.

--- a/runspool/node/executor.py
+++ b/runspool/node/executor.py
@@ -10,6 +10,8 @@
 from runspool.engines.send_permit import SendPermit
 from runspool.node.config import NodeConfig
 from runspool.node.engine_client import EngineClient
+from runspool.node.guard_delays import GuardDelays
+from runspool.node.request_hold import RequestHold
 from runspool.node.request_ids import RequestIds
 from runspool.node.request_parser import ClientRequest
 from runspool.node.state_releaser import PendingRelease, StateReleaser
@@ -85,6 +87,8 @@
         engine_client: Sends attempts and release calls to engines.
         state_releaser: Runs the releases until an engine confirms them.
         request_ids: The ids, given by the clients, that no new request may have.
+        guard_delays: The delays from the arrival of requests until their deadlines were guarded.
+        hold: Holds requests back from the scheduler while the endpoint list may be outdated.
         scheduler: The scheduler of this node.
     """
 
@@ -118,19 +122,31 @@
             self._count_release,
         )
         self.request_ids = RequestIds()
+        self.guard_delays = GuardDelays(self.rate_limited_log, self.counts)
+        self.hold = RequestHold(self)
         self.scheduler = CellScheduler(CELL_NAME, settings.routing, config.seed, self, EventRecorder(None))
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether new clients may come: the endpoint list is current, and no shutdown has begun."""
+        return not (self.hold.is_active or self.shutdown_deadline)
+
     # Requests and events from outside.
 
     def submit(
-        self, client_request: ClientRequest, listener: ResponseListener[bytes], received_at: int
+        self,
+        client_request: ClientRequest,
+        listener: ResponseListener[bytes],
+        received_at: int,
+        arrived_at: int,
     ) -> PendingNodeRequest:
-        """Accept a request and submit it to the scheduler. From then on it must get one final response.
+        """Accept a request, and submit it to the scheduler or hold it. It must get one final response.
 
         Args:
             client_request: The request.
             listener: Receives the response's stream.
             received_at: When the head of the request was received, in tenths of a millisecond.
+            arrived_at: When its last byte was received.
 
         Returns:
             The accepted request, whose final response the caller waits for.
@@ -153,8 +169,6 @@
         pending = PendingNodeRequest(
             index, client_request.id, received_at, deadline, listener, client_request=client_request
         )
-        # Reserve some of the time for sending the response to the client.
-        time_budget = max(0, pending.deadline - self.settings.response_slack - accepted_at)
         self.counts["continuations"] += client_request.is_continuation
         self.counts["client_retries"] += client_request.is_client_retry
         self.log.debug(
@@ -168,14 +182,39 @@
         )
         self.request_ids.opened(client_request.id)
         self.accept(pending)
+        self.guard_delays.record(pending.id, now() - arrived_at)
+        if self.hold.is_active:
+            self.hold.add(pending)
+        else:
+            self.submit_to_scheduler(pending)
+        return pending
+
+    def submit_to_scheduler(self, pending: PendingNodeRequest) -> None:
+        """Submit an accepted request to the scheduler, with what is left of its time."""
+        client_request, at = pending.client_request, now()
+        # Reserve some of the time for sending the response to the client.
+        time_budget = max(0, pending.deadline - self.settings.response_slack - at)
         request = client_request.to_request(
-            index,
-            self.intern_name("s", client_request.session, accepted_at),
-            self.intern_name("b", client_request.prefix, accepted_at),
+            pending.index,
+            self.intern_name("s", client_request.session, at),
+            self.intern_name("b", client_request.prefix, at),
             time_budget,
         )
-        self.notify_scheduler(self.scheduler, index, CellScheduler.submit, request)
-        return pending
+        self.notify_scheduler(self.scheduler, pending.index, CellScheduler.submit, request)
+
+    def hold_expired(self, request: int) -> None:
+        """Reject a request that is still held."""
+        self.hold.expire(request)
+
+    def cancel_remaining_work(self, pending: PendingNodeRequest) -> None:
+        """Cancel the attempt of a request that has its final response, and notify the scheduler.
+
+        The scheduler does not know a request that is held, which is therefore forgotten at once.
+        """
+        if self.hold.discard(pending):
+            self.forget_request(pending.index)
+        else:
+            super().cancel_remaining_work(pending)
 
     def begin_shutdown(self, deadline: int) -> None:
         """Start the shutdown: requests accepted from now on must be answered before `deadline`.
--- a/runspool/node/graceful_shutdown.py
+++ b/runspool/node/graceful_shutdown.py
@@ -153,6 +153,7 @@
             node=self.config.name,
             open=self._open_counts(),
             counts=dict(self.executor.counts),
+            longest_guard_delay_ms=self.executor.guard_delays.longest / TENTHS_PER_MS,
         )
 
     def _time_to_answer(self) -> int:
--- a/runspool/node/request_handler.py
+++ b/runspool/node/request_handler.py
@@ -230,7 +230,7 @@
     async def _route(self, request: HttpRequest, received_at: int) -> None:
         self.awaits_first_request = False
         if request.path == HEALTH_PATH and request.method == "GET":
-            await self.send_response(503 if self.executor.shutdown_deadline else 200, b"{}")
+            await self.send_response(200 if self.executor.is_ready else 503, b"{}")
         elif request.path != COMPLETIONS_PATH:
             await self.send_response(404, self.error_body("path", "no such path"))
         elif request.method != "POST":
@@ -273,7 +273,7 @@
             if not self.holds_open_request():
                 self.limit_monitor.reached(PeerLimit.MEMORY, code="memory", **self.memory.details())
                 raise RequestNotAcceptedError("memory", "this server holds too many requests; ask again")
-            return self.executor.submit(client_request, streaming, received_at)
+            return self.executor.submit(client_request, streaming, received_at, self.arrived_at)
         except InvalidRequestError as error:
             refusal = HttpRefusal(error.status, "misworded", str(error))
         except RequestNotAcceptedError as rejection:
--- a/runspool/node/server.py
+++ b/runspool/node/server.py
@@ -29,6 +29,7 @@
 from runspool.node.discovery_client import DiscoveryClient
 from runspool.node.executor import MAX_INTERNED_NAMES, ConnectionSettings, NodeExecutor
 from runspool.node.graceful_shutdown import GracefulShutdown
+from runspool.node.request_hold import HoldEnd
 from runspool.node.stop_request import StopRequest
 from runspool.service.accept_loop import accept_connections
 from runspool.service.clock import now
@@ -145,7 +146,7 @@
         to the discovery agent are closed.
 
         Args:
-            task_status: Receives the port once the node accepts connections.
+            task_status: Receives the port once the node is ready: requests are not held any longer.
 
         Raises:
             InvalidNodeConfigError: The node cannot listen on the configured address.
@@ -154,6 +155,9 @@
         executor.endpoints_changed(
             executor.endpoint_tracker.restore(self.config.last_known_endpoints.engines)
         )
+        # The endpoint list in the configuration may be outdated. Requests that are scheduled before a current
+        # list arrives could be sent to engines that are already being removed.
+        executor.hold.begin()
         listener = await self._listen()
         if listener is None:
             self.log.info("node_stopped_before_start", waited_for="port")
@@ -162,22 +166,15 @@
             async with listener, anyio.create_task_group() as tasks:
                 executor.tasks = tasks
                 self.port = listener.extra(SocketAttribute.local_port)
+                self._start_accepting(listener, tasks)
                 self._start_background_tasks(tasks)
                 if self._reload_requested:
                     tasks.start_soon(self.reload_config)
-                # The endpoint list in the configuration may be outdated. Requests that are accepted before a
-                # current list arrives could be sent to engines that are already being removed.
-                await self._wait_for_first_list()
-                # If a stop was requested before the node could serve, it rejects the requests of the
-                # connections that its listener has accepted.
-                accepts_requests = not self.stop_request.is_requested
-                for each in listener.listeners:
-                    raw_socket = each.extra(SocketAttribute.raw_socket)
-                    limit_kernel_buffers(raw_socket)
-                    tasks.start_soon(
-                        accept_connections, raw_socket, tasks, self.connections.serve, self.connections.memory
-                    )
-                self._log_listening()
+                hold_end = await self._wait_for_first_list()
+                # If a stop is requested before the node could serve, it rejects all requests.
+                accepts_requests = hold_end is not HoldEnd.STOP_REQUESTED
+                executor.closing = not accepts_requests
+                await executor.hold.end(hold_end)
                 task_status.started(self.port)
                 await self.stop_request.wait()
                 shutdown = GracefulShutdown(
@@ -200,8 +197,21 @@
             self.executor.tasks.start_soon(self.reload_config)
         self._reload_requested = True
 
-    async def _wait_for_first_list(self) -> None:
-        """Wait for a whole list, at most for FIRST_LIST_WAIT_SECONDS and until a stop is requested."""
+    def _start_accepting(self, listener: MultiListener[SocketStream], tasks: TaskGroup) -> None:
+        for each in listener.listeners:
+            raw_socket = each.extra(SocketAttribute.raw_socket)
+            limit_kernel_buffers(raw_socket)
+            tasks.start_soon(
+                accept_connections, raw_socket, tasks, self.connections.serve, self.connections.memory
+            )
+        self._log_listening()
+
+    async def _wait_for_first_list(self) -> HoldEnd:
+        """Wait for a whole list, at most for FIRST_LIST_WAIT_SECONDS and until a stop is requested.
+
+        Returns:
+            Why the wait has ended.
+        """
         with anyio.move_on_after(FIRST_LIST_WAIT_SECONDS):
             async with anyio.create_task_group() as tasks:
 
@@ -212,6 +222,9 @@
                 tasks.start_soon(cancel_at_stop)
                 await self.discovery.snapshot_received.wait()
                 tasks.cancel_scope.cancel()
+        if self.stop_request.is_requested:
+            return HoldEnd.STOP_REQUESTED
+        return HoldEnd.LIST_RECEIVED if self.discovery.snapshot_received.is_set() else HoldEnd.LIST_OVERDUE
 
     async def reload_config(self) -> None:
         """Read the configuration again and apply the address of the discovery agent.
--- a/runspool/service/http_connection.py
+++ b/runspool/service/http_connection.py
@@ -111,6 +111,8 @@
             close the connection, has disconnected or has sent an invalid request.
         response_started: True once anything has been sent to the client, `100 Continue` included. A subclass
             that uses it clears it at the start of each request.
+        arrived_at: When the last byte of the request that is served arrived at this host, in tenths of a
+            millisecond on the front's clock; 0 before the first request.
     """
 
     # Prefixes of the lower-case names of headers that a request may contain only once.
@@ -139,6 +141,7 @@
         self.write_timeout_seconds = limits.answer_write_ms / 1000
         self.keeps_alive = True
         self.response_started = False
+        self.arrived_at = 0
         self._count_active = count_active
         self._head_scope: anyio.CancelScope | None = None  # set while waiting for the head of a request
         self._head_started = False  # whether a part of that head has been read
@@ -382,10 +385,12 @@
         if request is None:
             self.keeps_alive = False
             return
-        received_at = now() - int(self.tcp.input_age() * TENTHS_PER_SECOND)
+        received_at = self.arrived_at = self._last_input_at()
         self._count_active(1)
         try:
-            await self._read_body(request)
+            if not request.complete:
+                await self._read_body(request)
+                self.arrived_at = self._last_input_at()
             self.parser.ready.popleft()
             self.keeps_alive = request.keeps_alive
             await self.work_turns.take(self)
@@ -395,6 +400,10 @@
             self._request_charge.set(self.parser.held_bytes)
             self._count_active(-1)
 
+    def _last_input_at(self) -> int:
+        """Return when the input that was read last arrived at this host, on the front's clock."""
+        return now() - int(self.tcp.input_age() * TENTHS_PER_SECOND)
+
     async def _read_head(self) -> HttpRequest | None:
         """Return the next request once its head is complete, or None if the connection ends without one."""
         ready = self.parser.ready
@@ -445,8 +454,6 @@
         return anyio.current_time() + wait_ms / 1000
 
     async def _read_body(self, request: HttpRequest) -> None:
-        if request.complete:
-            return
         if request.expects_continue:
             await self.send(CONTINUE_RESPONSE)
         with anyio.CancelScope(deadline=self._deadline_after(self.limits.body_ms)) as self._body_scope:
--- a/runspool/service/request_executor.py
+++ b/runspool/service/request_executor.py
@@ -38,6 +38,7 @@
 from runspool.service.timer_queue import (
     DeadlineGuardTimer,
     ExecutorTimer,
+    HoldTimer,
     ReleaseCheckTimer,
     SchedulerTimer,
 )
@@ -218,6 +219,8 @@
                 self._deadline_guard_fired(request)
             case ReleaseCheckTimer(request):
                 self.release_check.timer_fired(request)
+            case HoldTimer(request):
+                self.hold_expired(request)
             case SchedulerTimer(cell, token):
                 self.notify_scheduler(
                     self.scheduler_named(cell), timer.request, CellScheduler.timer_fired, token
--- a/runspool/service/timer_queue.py
+++ b/runspool/service/timer_queue.py
@@ -59,7 +59,18 @@
         return f"{self.token}@{self.cell}"
 
 
-ExecutorTimer = DeadlineGuardTimer | ReleaseCheckTimer | SchedulerTimer
+@dataclass(frozen=True, slots=True)
+class HoldTimer:
+    """Fires when the request with this index must not be held back from its scheduler any longer."""
+
+    request: int
+
+    def __str__(self) -> str:
+        """Return the timer's name for logs."""
+        return f"hold.{self.request}"
+
+
+ExecutorTimer = DeadlineGuardTimer | ReleaseCheckTimer | HoldTimer | SchedulerTimer
 
 
 class TimerQueue(Generic[Timer]):
