A client for which there is no room gets its rejection before its connection ends

The node rejected with 503 and read on for eight connections at a time; each further one was closed at once, over its unread request. The reset can take the response with it.

Now a connection that loses its place before it was answered gets the same 503. Where more than eight rejected ones are open, those rejected first are closed, not the newest, and what has arrived is read before the close, so that the kernel sends no reset over the response. No more descriptors are used than before.

--- a/runspool/node/client_connections.py
+++ b/runspool/node/client_connections.py
@@ -3,23 +3,16 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from contextlib import suppress
 from heapq import nsmallest
 
-import anyio
 import structlog
 
 from runspool.node.executor import NodeExecutor
+from runspool.node.rejected_connections import RejectedConnections
 from runspool.node.request_handler import Claim, RequestHandler
 from runspool.service.clock import now
-from runspool.transport.tcp import ConnectionClosedError, TcpConnection
+from runspool.transport.tcp import TcpConnection
 from runspool.units import TENTHS_PER_MS
-from runspool.wire.http_requests import encode_response_head
-
-# Rejected connections whose incoming data is read and discarded at the same time. Further ones are closed
-# without reading.
-MAX_DRAINED_REJECTIONS = 8
-REJECTION_DRAIN_SECONDS = 0.5  # longest time for which the data of a rejected connection is discarded
 
 # Shortest time between two searches for connections that may lose their place, in tenths of a millisecond.
 SEARCH_INTERVAL = 100
@@ -28,8 +21,6 @@
 MAX_ENDING_CLIENTS = 8
 MAX_CANDIDATES = 32  # number of connections that one search finds at most
 
-REJECTION_RESPONSE = encode_response_head(503, [("Connection", "close"), ("Content-Length", "0")])
-
 
 class ClientConnections:
     """Serves client connections, at most `max_clients` of them at the same time.
@@ -40,6 +31,7 @@
         handlers: One handler for each connection that is open.
         memory: The account of what connections hold.
         busy_handler_count: The number of handlers that are processing a request.
+        rejected: The connections for which there was no room.
     """
 
     def __init__(self, executor: NodeExecutor, max_clients: int) -> None:
@@ -48,7 +40,7 @@
         self.memory = executor.connection_resources.memory
         self.handlers: set[RequestHandler] = set()
         self.busy_handler_count = 0
-        self._rejections_in_progress = 0
+        self.rejected = RejectedConnections()
         self._candidates: deque[RequestHandler] = deque()
         self._searched_at = 0
         self.log = structlog.get_logger()
@@ -62,17 +54,26 @@
         """
         if len(self.handlers) >= self.max_clients and not self._make_room():
             self.executor.counts["clients_rejected"] += 1
-            await self._reject(connection)
+            await self.rejected.reject(connection)
             return
         handler = RequestHandler(self.executor, connection, self._count_busy)
         self.handlers.add(handler)
+        try:
+            await self._run(handler)
+            if handler.ended_for_room_unanswered:
+                await self.rejected.reject(connection)
+            elif handler.ended_for_room_refused:
+                await self.rejected.close_later(connection)
+        finally:
+            connection.close()
+
+    async def _run(self, handler: RequestHandler) -> None:
         try:
             await handler.run()
         except Exception as error:  # an internal error while one client is served must not end the node
             self.log.exception("client_failed", fault=repr(error))
         finally:
             self.handlers.discard(handler)
-            connection.close()
 
     def _make_room(self) -> bool:
         """End one connection that may lose its place to a new one; return False if there is none.
@@ -111,21 +112,5 @@
             claim_counts = Counter(claim.name.lower() for claim, *_ in claims)
             self.rate_limited_log.info("clients_keep_places", claims=dict(claim_counts))
 
-    async def _reject(self, connection: TcpConnection) -> None:
-        """Respond with status 503 and close the connection.
-
-        The client's data is read and discarded for a short time: closing a socket with unread data resets the
-        connection, and the client could lose the response. At most MAX_DRAINED_REJECTIONS connections are
-        drained at the same time, because each uses one of the reserved file descriptors.
-        """
-        self._rejections_in_progress += 1
-        with anyio.move_on_after(REJECTION_DRAIN_SECONDS), suppress(ConnectionClosedError):
-            await connection.send(REJECTION_RESPONSE)
-            connection.send_eof()
-            while self._rejections_in_progress <= MAX_DRAINED_REJECTIONS:
-                await connection.receive()
-        self._rejections_in_progress -= 1
-        connection.close()
-
     def _count_busy(self, change: int) -> None:
         self.busy_handler_count += change
--- a/runspool/node/request_handler.py
+++ b/runspool/node/request_handler.py
@@ -125,6 +125,7 @@
         self.idle_since = 0
         self.request_since = now()
         self._has_given_up_place = False
+        self._refused_for_room = False
 
     def claim(self, at: int) -> tuple[Claim, int]:
         """Return what the connection is kept for at a time, and since when that is so.
@@ -157,11 +158,25 @@
                 self.disconnect_reader()
             case _ if self.has_partial_request:
                 self.refuse_part(NO_ROOM, lingers=False)
-            case _:
-                return self.stop_waiting_for_request()
+                self._refused_for_room = True
+            case _ if not self.stop_waiting_for_request():
+                return False
         self._has_given_up_place = True
         return True
 
+    @property
+    def ended_for_room_unanswered(self) -> bool:
+        """Whether the connection has lost its place before its client got any response.
+
+        Its client may be about to send a request, and would take the end of the connection for its answer.
+        """
+        return self._has_given_up_place and self.awaits_first_request and not self.response_started
+
+    @property
+    def ended_for_room_refused(self) -> bool:
+        """Whether a request of which only a part had arrived was refused because there was no room."""
+        return self._refused_for_room
+
     @property
     def closing(self) -> bool:
         """Whether the node has stopped accepting requests and this connection has had its first request.
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -85,3 +85,18 @@
                 await client.read_body(response)  # frees descriptors for the last request
         assert most_open <= 64
         assert (await platform.send_request(post("last"))).status == 200
+
+
+# Clients for which there was no room lost their connections without an answer.
+@pytest.mark.parametrize("seconds_before_request", [0.0, 0.1])
+async def test_every_client_of_a_crowd_beyond_the_places_gets_an_answer(
+    seconds_before_request: float, tmp_path: Path
+) -> None:
+    platform = Platform(tmp_path, PREFILL_AND_DECODE)
+    async with platform.open():
+        clients = await asyncio.gather(*(platform.client() for _ in range(600)))
+        await asyncio.sleep(seconds_before_request)
+        for index, client in enumerate(clients):
+            client.send(post(f"q{index}"))
+        statuses = [(await client.read_response()).status for client in clients]
+        assert set(statuses) <= {200, 503}
