Requests that arrive together are all guarded before they are scheduled

On a fraction of a core the delay grows in proportion, and an answer over 0.5 s after its time is a lost request.

Cause: a request was submitted to the scheduler in the same unit of work that accepted it. Submission and the attempt that follows take several milliseconds of CPU; the requests that had arrived but were not read waited behind the attempts of those before them.

Now the queue that holds requests at a start (SubmissionQueue, before: RequestHold) also takes those that are accepted while others wait for their turn to be read: it submits one in each iteration of the event loop. Without a crowd a request is submitted at once, as before.

--- a/runspool/node/executor.py
+++ b/runspool/node/executor.py
@@ -11,10 +11,10 @@
 from runspool.node.config import NodeConfig
 from runspool.node.engine_client import EngineClient
 from runspool.node.guard_delays import GuardDelays
-from runspool.node.request_hold import RequestHold
 from runspool.node.request_ids import RequestIds
 from runspool.node.request_parser import ClientRequest
 from runspool.node.state_releaser import PendingRelease, StateReleaser
+from runspool.node.submission_queue import SubmissionQueue
 from runspool.runtime.scheduler_driver import SHUTDOWN_TASK
 from runspool.scheduling.request_lifecycle import PREFILL_MAY_HAVE_RUN, InvariantViolation, RequestLifecycle
 from runspool.scheduling.types import EngineState, Role
@@ -88,7 +88,7 @@
         state_releaser: Runs the releases until an engine confirms them.
         request_ids: The ids, given by the clients, that no new request may have.
         guard_delays: The delays from the arrival of requests until their deadlines were guarded.
-        hold: Holds requests back from the scheduler while the endpoint list may be outdated.
+        submissions: The accepted requests that wait for their submission to the scheduler.
         scheduler: The scheduler of this node.
     """
 
@@ -123,13 +123,13 @@
         )
         self.request_ids = RequestIds()
         self.guard_delays = GuardDelays(self.rate_limited_log, self.counts)
-        self.hold = RequestHold(self)
+        self.submissions = SubmissionQueue(self)
         self.scheduler = CellScheduler(CELL_NAME, settings.routing, config.seed, self, EventRecorder(None))
 
     @property
     def is_ready(self) -> bool:
         """Whether new clients may come: the endpoint list is current, and no shutdown has begun."""
-        return not (self.hold.is_active or self.shutdown_deadline)
+        return not (self.submissions.is_held or self.shutdown_deadline)
 
     # Requests and events from outside.
 
@@ -140,7 +140,7 @@
         received_at: int,
         arrived_at: int,
     ) -> PendingNodeRequest:
-        """Accept a request, and submit it to the scheduler or hold it. It must get one final response.
+        """Accept a request, and submit it to the scheduler in its turn. It must get one final response.
 
         Args:
             client_request: The request.
@@ -183,10 +183,7 @@
         self.request_ids.opened(client_request.id)
         self.accept(pending)
         self.guard_delays.record(pending.id, now() - arrived_at)
-        if self.hold.is_active:
-            self.hold.add(pending)
-        else:
-            self.submit_to_scheduler(pending)
+        self.submissions.add(pending)
         return pending
 
     def submit_to_scheduler(self, pending: PendingNodeRequest) -> None:
@@ -202,16 +199,16 @@
         )
         self.notify_scheduler(self.scheduler, pending.index, CellScheduler.submit, request)
 
-    def hold_expired(self, request: int) -> None:
-        """Reject a request that is still held."""
-        self.hold.expire(request)
+    def submission_expired(self, request: int) -> None:
+        """Reject a request that has not been submitted to the scheduler in time."""
+        self.submissions.expire(request)
 
     def cancel_remaining_work(self, pending: PendingNodeRequest) -> None:
         """Cancel the attempt of a request that has its final response, and notify the scheduler.
 
-        The scheduler does not know a request that is held, which is therefore forgotten at once.
+        The scheduler does not know a request that waits for its submission, which is forgotten at once.
         """
-        if self.hold.discard(pending):
+        if self.submissions.discard(pending):
             self.forget_request(pending.index)
         else:
             super().cancel_remaining_work(pending)
@@ -300,7 +297,7 @@
             on_confirmed=partial(self._release_confirmed, pending.id, lifecycle, reserved_since),
             attempt_may_leave_state=partial(_attempt_may_leave_state, lifecycle, ref(pending)),
         )
-        self._spawn(self.state_releaser.release, release)
+        self.spawn(self.state_releaser.release, release)
         return True
 
     async def before_attempt(self, pending: PendingNodeRequest, endpoint: Endpoint) -> None:
--- a/runspool/node/server.py
+++ b/runspool/node/server.py
@@ -29,8 +29,8 @@
 from runspool.node.discovery_client import DiscoveryClient
 from runspool.node.executor import MAX_INTERNED_NAMES, ConnectionSettings, NodeExecutor
 from runspool.node.graceful_shutdown import GracefulShutdown
-from runspool.node.request_hold import HoldEnd
 from runspool.node.stop_request import StopRequest
+from runspool.node.submission_queue import HoldEnd
 from runspool.service.accept_loop import accept_connections
 from runspool.service.clock import now
 from runspool.transport.tcp import limit_kernel_buffers
@@ -157,7 +157,7 @@
         )
         # The endpoint list in the configuration may be outdated. Requests that are scheduled before a current
         # list arrives could be sent to engines that are already being removed.
-        executor.hold.begin()
+        executor.submissions.hold()
         listener = await self._listen()
         if listener is None:
             self.log.info("node_stopped_before_start", waited_for="port")
@@ -174,7 +174,7 @@
                 # If a stop is requested before the node could serve, it rejects all requests.
                 accepts_requests = hold_end is not HoldEnd.STOP_REQUESTED
                 executor.closing = not accepts_requests
-                await executor.hold.end(hold_end)
+                executor.submissions.end_hold(hold_end)
                 task_status.started(self.port)
                 await self.stop_request.wait()
                 shutdown = GracefulShutdown(
--- a/runspool/node/submission_queue.py
+++ b/runspool/node/submission_queue.py
@@ -1,9 +1,13 @@
-"""Holds accepted requests back from the scheduler until the node's endpoint list is current.
+"""Accepted requests that wait for their submission to the scheduler.
 
-When a process starts, the endpoint list of its configuration may be outdated: a request that is scheduled by
-it could be sent to an engine that is already being removed. The kernel accepts connections as soon as the
-node listens. Their requests are therefore read and accepted at once, so that their deadlines are guarded
-while they wait for the list.
+A request is accepted as soon as it has been read, so that its deadline is guarded. Its submission may have to
+wait:
+
+- When a process starts, the endpoint list of its configuration may be outdated: a request that is scheduled
+  by it could be sent to an engine that is already being removed. The kernel accepts connections as soon as
+  the node listens, so requests arrive before there is a current list.
+- Submitting a request takes much longer than reading one. While many requests arrive at the same time, those
+  that have not been read come first, because nothing guards their deadlines yet.
 """
 
 from __future__ import annotations
@@ -15,7 +19,7 @@
 import structlog
 
 from runspool.service.clock import now
-from runspool.service.timer_queue import HoldTimer
+from runspool.service.timer_queue import SubmissionTimer
 from runspool.units import TENTHS_PER_MS
 
 if TYPE_CHECKING:
@@ -23,72 +27,90 @@
 
 
 class HoldEnd(Enum):
-    """Why requests are not held any longer."""
+    """Why the requests of a starting process are not held any longer."""
 
     LIST_RECEIVED = "list_received"
     LIST_OVERDUE = "list_overdue"  # the agent is silent: the list of the configuration is used
     STOP_REQUESTED = "stop_requested"
 
 
-class RequestHold:
-    """Holds requests while it is active; their executor accepts, guards and ends them like all others.
+class SubmissionQueue:
+    """Submits accepted requests to the scheduler, in the order of their arrival.
+
+    Requests that wait are accepted, guarded and ended by their executor like all others.
 
     Attributes:
         executor: The executor of the requests.
-        is_active: Whether a request that is accepted now is held.
+        is_held: Whether no request is submitted, because the endpoint list may be outdated.
     """
 
     def __init__(self, executor: NodeExecutor) -> None:
-        """Create a hold that is not active."""
+        """Create an empty queue that is not held."""
         self.executor = executor
-        self.is_active = False
-        self._began_at = 0
-        self._held: dict[int, PendingNodeRequest] = {}  # by index, in the order of their arrival
+        self.is_held = False
+        self._held_since = 0
+        self._waiting: dict[int, PendingNodeRequest] = {}  # by index, in the order of their arrival
+        self._is_submitting = False
 
-    def begin(self) -> None:
-        """Hold all requests that are accepted from now on."""
-        self.is_active = True
-        self._began_at = now()
+    def hold(self) -> None:
+        """Submit no request until end_hold() is called."""
+        self.is_held = True
+        self._held_since = now()
 
     def add(self, pending: PendingNodeRequest) -> None:
-        """Hold an accepted request, at most until it is too late for an attempt."""
-        self._held[pending.index] = pending
-        self.executor.counts["held"] += 1
+        """Submit an accepted request now or later, but not when it is too late for an attempt."""
+        if not (self.is_held or self._waiting or self.executor.connection_resources.work_turns.has_waiting):
+            self.executor.submit_to_scheduler(pending)
+            return
+        self._waiting[pending.index] = pending
+        self.executor.counts["submissions_delayed"] += 1
         expires_at = self.executor.deadline_guard.attempt_deadline(pending)
-        self.executor.timers.schedule(expires_at, HoldTimer(pending.index))
+        self.executor.timers.schedule(expires_at, SubmissionTimer(pending.index))
+        if not self.is_held:
+            self._start_submitting()
 
     def expire(self, request: int) -> None:
-        """Reject a request that is still held: no attempt could end within its time."""
-        if request in self._held:
-            self.executor.counts["held_expired"] += 1
+        """Reject a request that still waits: no attempt could end within its time."""
+        if request in self._waiting:
+            self.executor.counts["submissions_expired"] += 1
             self._reject(request)
 
     def discard(self, pending: PendingNodeRequest) -> bool:
-        """Stop holding a request; return whether it was held, and so is unknown to the scheduler."""
-        return self._held.pop(pending.index, None) is not None
+        """Remove a request; return whether it was waiting, and so is unknown to the scheduler."""
+        return self._waiting.pop(pending.index, None) is not None
 
-    async def end(self, reason: HoldEnd) -> None:
-        """Stop holding requests: submit those that are held to the scheduler, or reject them at a stop.
-
-        Other tasks run between two submissions, as many requests may be held.
-        """
-        self.is_active = False
+    def end_hold(self, reason: HoldEnd) -> None:
+        """Submit the requests that wait, or reject them at a stop."""
+        self.is_held = False
         structlog.get_logger().info(
             "request_hold_ended",
             reason=reason.value,
-            after_ms=(now() - self._began_at) / TENTHS_PER_MS,
-            requests=len(self._held),
+            after_ms=(now() - self._held_since) / TENTHS_PER_MS,
+            requests=len(self._waiting),
             list_version=self.executor.endpoint_tracker.version,
         )
         if reason is HoldEnd.STOP_REQUESTED:
-            for request in list(self._held):
+            for request in list(self._waiting):
                 self._reject(request)
-        while self._held:
-            pending = self._held.pop(next(iter(self._held)))
-            self.executor.submit_to_scheduler(pending)
-            await anyio.lowlevel.checkpoint()
+        elif self._waiting:
+            self._start_submitting()
+
+    def _start_submitting(self) -> None:
+        if not self._is_submitting:
+            self._is_submitting = True
+            self.executor.spawn(self._submit_waiting)
+
+    async def _submit_waiting(self) -> None:
+        """Submit all requests that wait, one in each iteration of the event loop."""
+        try:
+            while self._waiting:
+                await anyio.lowlevel.checkpoint()
+                if self._waiting:
+                    self.executor.submit_to_scheduler(self._waiting.pop(next(iter(self._waiting))))
+        finally:
+            self._is_submitting = False
 
     def _reject(self, request: int) -> None:
-        del self._held[request]
+        del self._waiting[request]
         self.executor.reject(request, retry_after=0)
         self.executor.forget_request(request)
--- a/runspool/service/protocol_hooks.py
+++ b/runspool/service/protocol_hooks.py
@@ -79,8 +79,8 @@
         """Record the engine that keeps the request's prefill state; None if there is no state."""
         pending.prefill_endpoint = endpoint
 
-    def hold_expired(self, request: int) -> None:
-        """End a request that is still held back from its scheduler; `request` is its index."""
+    def submission_expired(self, request: int) -> None:
+        """End a request that has not been submitted to its scheduler yet; `request` is its index."""
 
     def after_request(self, pending: RequestT) -> None:
         """Clean up after a request that the scheduler has forgotten."""
--- a/runspool/service/request_executor.py
+++ b/runspool/service/request_executor.py
@@ -38,9 +38,9 @@
 from runspool.service.timer_queue import (
     DeadlineGuardTimer,
     ExecutorTimer,
-    HoldTimer,
     ReleaseCheckTimer,
     SchedulerTimer,
+    SubmissionTimer,
 )
 from runspool.wire.endpoint_list import EndpointEntry
 
@@ -119,7 +119,7 @@
         """
         pending = self.requests[request]
         pending.attempt_count += 1
-        self._spawn(self.attempt_runner.run, pending, self.endpoints[engine], timeout)
+        self.spawn(self.attempt_runner.run, pending, self.endpoints[engine], timeout)
 
     def reject(self, request: int, retry_after: int) -> None:
         """Reject the request as not executed.
@@ -219,8 +219,8 @@
                 self._deadline_guard_fired(request)
             case ReleaseCheckTimer(request):
                 self.release_check.timer_fired(request)
-            case HoldTimer(request):
-                self.hold_expired(request)
+            case SubmissionTimer(request):
+                self.submission_expired(request)
             case SchedulerTimer(cell, token):
                 self.notify_scheduler(
                     self.scheduler_named(cell), timer.request, CellScheduler.timer_fired, token
--- a/runspool/service/task_spawner.py
+++ b/runspool/service/task_spawner.py
@@ -37,13 +37,14 @@
             finally:
                 self.releases_in_progress -= 1
 
-        self._spawn(release)
+        self.spawn(release)
 
-    def _spawn(
+    def spawn(
         self,
         work: Callable[..., Coroutine[Any, Any, None]],
         *args: object,
     ) -> None:
+        """Start a task; its exceptions are logged."""
         assert self.tasks is not None, "tasks can be spawned only while the front runs"
         self.tasks.start_soon(self._run_isolated, work, *args)
 
--- a/runspool/service/timer_queue.py
+++ b/runspool/service/timer_queue.py
@@ -60,17 +60,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HoldTimer:
-    """Fires when the request with this index must not be held back from its scheduler any longer."""
+class SubmissionTimer:
+    """Fires when it is too late to submit the request with this index to its scheduler."""
 
     request: int
 
     def __str__(self) -> str:
         """Return the timer's name for logs."""
-        return f"hold.{self.request}"
+        return f"submission.{self.request}"
 
 
-ExecutorTimer = DeadlineGuardTimer | ReleaseCheckTimer | HoldTimer | SchedulerTimer
+ExecutorTimer = DeadlineGuardTimer | ReleaseCheckTimer | SubmissionTimer | SchedulerTimer
 
 
 class TimerQueue(Generic[Timer]):
--- a/tests/test_auditor_rejects_forged_recordings.py
+++ b/tests/test_auditor_rejects_forged_recordings.py
@@ -120,7 +120,7 @@
         pending = front.requests[request]
         second_headers = pending.headers | {"X-Request-Id": f"{pending.id}.again"}
         if pending.attempt_count:
-            front._spawn(
+            front.spawn(
                 _decode_and_discard,
                 front,
                 pending.completion.body,
