A failed accept is repeated after a millisecond, and frees descriptors first

Cause: after EMFILE, ENFILE, ENOBUFS or ENOMEM the accept loop slept for 0.1 s, and so did each accept that failed after the next success. Whoever waited in the backlog was read by nobody: if every second accept fails, 60 clients that come together wait for up to 6.0 s.

Now it is tried again after 1 ms, doubled up to 0.1 s while it goes on failing, and the node first closes what it can spare: connections that are rejected already, and the engine connection that has been idle for longest.

--- a/runspool/engines/connection_pool.py
+++ b/runspool/engines/connection_pool.py
@@ -137,7 +137,7 @@
             return connection
         if self.open_counts.get(address, 0) >= self.settings.connections_each:
             raise ConnectionLimitError(f"{address[0]}:{address[1]}")
-        if self._limit_reached(address) and not self._close_longest_idle():
+        if self._limit_reached(address) and not self.close_longest_idle():
             raise ConnectionLimitError(f"all {self.max_connections} connections to engines are in use")
         return await self._open(address, self.settings.connect_ms if connect_ms is None else connect_ms)
 
@@ -169,6 +169,19 @@
             if not idle:
                 self.idle.pop(address, None)
 
+    def close_longest_idle(self) -> bool:
+        """Close the connection that has been idle for longest, so that another engine can have one.
+
+        Returns:
+            False if no connection is idle.
+        """
+        candidates = [idle[0] for idle in self.idle.values() if idle]
+        if candidates:
+            connection = min(candidates, key=lambda candidate: candidate.idle_since)
+            self.idle[connection.address].popleft()
+            self.discard(connection)
+        return bool(candidates)
+
     def close(self) -> None:
         """Close all idle connections, even recently used ones. Connections in use stay open."""
         for idle in self.idle.values():
@@ -241,19 +254,6 @@
             return True
         return 0 < self.max_connections <= sum(self.open_counts.values())
 
-    def _close_longest_idle(self) -> bool:
-        """Close the connection that has been idle for longest, so that another engine can have one.
-
-        Returns:
-            False if no connection is idle.
-        """
-        candidates = [idle[0] for idle in self.idle.values() if idle]
-        if candidates:
-            connection = min(candidates, key=lambda candidate: candidate.idle_since)
-            self.idle[connection.address].popleft()
-            self.discard(connection)
-        return bool(candidates)
-
     def _count_closed(self, address: Address) -> None:
         self._charge.set(self._charge.size - ENGINE_CONNECTION_BYTES)
         remaining = self.open_counts.get(address, 1) - 1
--- a/runspool/node/server.py
+++ b/runspool/node/server.py
@@ -202,10 +202,20 @@
             raw_socket = each.extra(SocketAttribute.raw_socket)
             limit_kernel_buffers(raw_socket)
             tasks.start_soon(
-                accept_connections, raw_socket, tasks, self.connections.serve, self.connections.memory
+                accept_connections,
+                raw_socket,
+                tasks,
+                self.connections.serve,
+                self.connections.memory,
+                self._free_descriptors,
             )
         self._log_listening()
 
+    def _free_descriptors(self) -> None:
+        """Close connections that are not needed, because a client's connection could not be accepted."""
+        self.connections.rejected.close_all()
+        self.executor.engine_client.pool.close_longest_idle()
+
     async def _wait_for_first_list(self) -> HoldEnd:
         """Wait for a whole list, at most for FIRST_LIST_WAIT_SECONDS and until a stop is requested.
 
--- a/runspool/service/accept_loop.py
+++ b/runspool/service/accept_loop.py
@@ -19,7 +19,11 @@
 # Connections that are accepted before other tasks have their turn. A crowd of clients that connect at the
 # same time must not keep others waiting, neither in the kernel's queue nor behind their requests.
 MAX_ACCEPTS_IN_TURN = 16
-ACCEPT_RETRY_DELAY = 0.1  # seconds until the next accept after the process or host has run out of resources
+# Seconds until the next accept after the process or host has run out of resources: at first, and at most. It
+# is doubled after each failure. Meanwhile nobody reads the requests of clients in the backlog.
+MIN_ACCEPT_RETRY_SECONDS = 0.001
+MAX_ACCEPT_RETRY_SECONDS = 0.1
+MAX_RETRY_DOUBLINGS = 10  # bounds the computation; the delay has its maximum before
 RESOURCES_EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 
@@ -28,26 +32,37 @@
     tasks: TaskGroup,
     serve_client: Callable[[TcpConnection], Coroutine[Any, Any, None]],
     memory: MemoryAccount,
+    free_resources: Callable[[], None] = lambda: None,
 ) -> None:
     """Accept connections until cancelled, and start `serve_client` in `tasks` for each one.
 
-    `memory` is charged for the data that connections buffer. A failed accept is logged and does not stop
-    the loop.
+    A failed accept is logged and does not stop the loop.
+
+    Args:
+        listener: The listening socket, which does not block.
+        tasks: Runs the tasks of the connections.
+        serve_client: Serves one connection.
+        memory: Charged for the data that connections buffer.
+        free_resources: Called when no connection can be accepted for want of resources such as file
+            descriptors; may free some.
     """
     log = structlog.get_logger()
-    failures = accepted_in_turn = 0
+    failures = all_failures = accepted_in_turn = 0
     while True:
         try:
             accepted = await tcp.accept_socket(listener)
         except Exception as error:  # noqa: BLE001 - the loop must survive any error of the event loop
             failures += 1
-            if failures.bit_count() == 1:  # logs the 1st, 2nd, 4th, 8th, ... consecutive failure
-                log.error("accept_failed", reason=repr(error), failures=failures)  # noqa: TRY400 - no traceback
+            all_failures += 1
+            if all_failures.bit_count() == 1:  # logs the 1st, 2nd, 4th, 8th, ... failure
+                log.error("accept_failed", reason=repr(error), failures=all_failures)  # noqa: TRY400 - no traceback
             # After resource exhaustion, clients in the backlog can be served once resources are free again.
             # Any other OSError concerns a single connection that its peer or the network has closed, so the
             # loop only yields to other tasks before the next accept.
             exhausted = not isinstance(error, OSError) or error.errno in RESOURCES_EXHAUSTED
-            await anyio.sleep(ACCEPT_RETRY_DELAY if exhausted else 0)
+            if exhausted:
+                free_resources()
+            await anyio.sleep(_retry_delay(failures) if exhausted else 0)
             continue
         failures = 0
         tasks.start_soon(_serve_accepted, accepted, serve_client, memory)
@@ -57,6 +72,12 @@
             await anyio.lowlevel.checkpoint()
 
 
+def _retry_delay(failures: int) -> float:
+    """Return the seconds until the next accept after this number of consecutive failures."""
+    doublings = min(failures - 1, MAX_RETRY_DOUBLINGS)
+    return min(MAX_ACCEPT_RETRY_SECONDS, MIN_ACCEPT_RETRY_SECONDS * (1 << doublings))
+
+
 async def _serve_accepted(
     accepted: socket.socket,
     serve_client: Callable[[TcpConnection], Coroutine[Any, Any, None]],
--- a/tests/test_guard_delay.py
+++ b/tests/test_guard_delay.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -17,6 +18,7 @@
 from runspool.node.guard_delays import MAX_GUARD_DELAY
 from runspool.node.server import NodeServer
 from runspool.service.clock import now
+from runspool.transport import tcp
 from tests.node_platform.client import Client, post
 from tests.node_platform.engine import never_responds
 from tests.node_platform.inspection import wait_until
@@ -134,6 +136,27 @@
         await observer.check()
 
 
+# One accept that failed for want of descriptors made all clients wait for 0.1 s, and the next failed again.
+async def test_failed_accepts_delay_no_guard_beyond_the_bound(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    original, calls = tcp.accept_socket, 0
+
+    async def accept_or_fail(listener: Any) -> Any:
+        nonlocal calls
+        calls += 1
+        if calls % 2:  # each connection is accepted after one failure
+            raise OSError(errno.EMFILE, "Too many open files")
+        return await original(listener)
+
+    platform = Platform(tmp_path, ENGINES)
+    monkeypatch.setattr(tcp, "accept_socket", accept_or_fail)
+    async with platform.open_in_process() as server:
+        observer = Observer(platform, server, monkeypatch)
+        await come_at_once(observer)
+        await observer.check()
+
+
 async def test_many_requests_at_once_are_guarded_before_they_are_scheduled(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
