--- a/runspool/node/executor.py
+++ b/runspool/node/executor.py
@@ -138,7 +138,7 @@
         client_request: ClientRequest,
         listener: ResponseListener[bytes],
         received_at: int,
-        arrived_at: int,
+        unguarded_since: int,
     ) -> PendingNodeRequest:
         """Accept a request, and submit it to the scheduler in its turn. It must get one final response.
 
@@ -146,7 +146,7 @@
             client_request: The request.
             listener: Receives the response's stream.
             received_at: When the head of the request was received, in tenths of a millisecond.
-            arrived_at: When its last byte was received.
+            unguarded_since: Since when the whole request has been here without a guard of its deadline.
 
         Returns:
             The accepted request, whose final response the caller waits for.
@@ -182,7 +182,7 @@
         )
         self.request_ids.opened(client_request.id)
         self.accept(pending)
-        self.guard_delays.record(pending.id, now() - arrived_at)
+        self.guard_delays.record(pending.id, now() - unguarded_since)
         self.submissions.add(pending)
         return pending
 
--- a/runspool/node/request_parser.py
+++ b/runspool/node/request_parser.py
@@ -138,7 +138,7 @@
         expected_output_tokens=_parse_cost(headers.get("req-cost")) // time_per_token
         if time_per_token
         else 0,
-        time_limit=_parse_time_limit(headers.get("req-deadline")),
+        time_limit=parse_time_limit(headers.get("req-deadline")),
         is_client_retry=retry == "1",
         is_continuation=retry == "again",
     )
@@ -182,8 +182,12 @@
     return largest or DEFAULT_MAX_PROMPT_TOKENS
 
 
-def _parse_time_limit(value: str | None) -> int:
-    """Return the time limit in tenths of a millisecond; it is at least 1."""
+def parse_time_limit(value: str | None) -> int:
+    """Return the time limit of a request in tenths of a millisecond; it is at least 1.
+
+    Raises:
+        InvalidRequestError: The value of the field `Req-Deadline` is missing or invalid.
+    """
     match = DEADLINE.fullmatch(value or "")
     if match is None:
         raise InvalidRequestError("Req-Deadline", f"{_quote(value)} is no whole number with m or u")
--- a/runspool/service/http_connection.py
+++ b/runspool/service/http_connection.py
@@ -77,6 +77,19 @@
         """The maximum time that a write may wait for the client to read, in milliseconds."""
 
 
+@dataclass(frozen=True, slots=True)
+class BodyWait:
+    """The wait for the rest of a request's body.
+
+    Attributes:
+        ends_at: When the wait ends, in seconds on the event loop's clock.
+        refusal: The response if the body is not complete by then.
+    """
+
+    ends_at: float
+    refusal: HttpRefusal
+
+
 @dataclass(frozen=True, slots=True)
 class OpenResponse:
     """The response to the request that a connection serves.
@@ -389,7 +402,7 @@
         self._count_active(1)
         try:
             if not request.complete:
-                await self._read_body(request)
+                await self._read_body(request, self.body_wait(request, received_at))
                 self.arrived_at = self._last_input_at()
             self.parser.ready.popleft()
             self.keeps_alive = request.keeps_alive
@@ -453,10 +466,17 @@
         """Return the end of a wait that starts now, in seconds on the event loop's clock."""
         return anyio.current_time() + wait_ms / 1000
 
-    async def _read_body(self, request: HttpRequest) -> None:
+    def body_wait(self, request: HttpRequest, received_at: int) -> BodyWait:
+        """Return how long to wait for the rest of the body of a request.
+
+        `received_at` is when the end of its head arrived at this host, on the front's clock.
+        """
+        return BodyWait(self._deadline_after(self.limits.body_ms), BODY_TOOK_TOO_LONG)
+
+    async def _read_body(self, request: HttpRequest, wait: BodyWait) -> None:
         if request.expects_continue:
             await self.send(CONTINUE_RESPONSE)
-        with anyio.CancelScope(deadline=self._deadline_after(self.limits.body_ms)) as self._body_scope:
+        with anyio.CancelScope(deadline=wait.ends_at) as self._body_scope:
             try:
                 while not request.complete:
                     try:
@@ -466,7 +486,7 @@
                 return
             finally:
                 self._body_scope = None
-        raise self._incomplete_request_error(BODY_TOOK_TOO_LONG)
+        raise self._incomplete_request_error(wait.refusal)
 
     def _incomplete_request_error(self, refusal: HttpRefusal) -> InvalidHttpRequestError:
         """Return the error for an incomplete request; an earlier refusal of it takes precedence."""
--- a/tests/test_guard_delay.py
+++ b/tests/test_guard_delay.py
@@ -19,6 +19,7 @@
 from runspool.node.server import NodeServer
 from runspool.service.clock import now
 from runspool.transport import tcp
+from runspool.units import ms_to_tenths
 from tests.node_platform.client import Client, post
 from tests.node_platform.engine import never_responds
 from tests.node_platform.inspection import wait_until
@@ -199,3 +200,27 @@
         assert not server.executor.requests
         assert server.executor.counts["submissions_expired"] == 1
         assert not server.executor.invariants.counts
+
+
+# A body that had arrived whole was read in small turns, and nobody guarded its deadline meanwhile.
+async def test_the_deadline_of_a_request_is_guarded_while_its_body_is_read(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, ENGINES)
+    async with platform.open_in_process():
+        client = await platform.client()
+        began = now()
+        client.send(post("q1", req_deadline="200m", body=LARGE_BODY)[:100_000])
+        assert (await client.read_response()).status == 503
+        assert now() - began <= ms_to_tenths(200) + MAX_GUARD_DELAY
+        assert not platform.attempts("q1")
+
+
+async def test_the_deadlines_of_large_bodies_that_come_at_once_are_guarded(tmp_path: Path) -> None:
+    platform = Platform(tmp_path, ENGINES)
+    platform.sockets = 512
+    async with platform.open():
+        clients = [await platform.client() for _ in range(200)]
+        for index, client in enumerate(clients):
+            client.send(post(f"q{index}", body=LARGE_BODY, req_deadline="300m" if index % 2 else "6000m"))
+        statuses = {(await client.read_head()).status for client in clients}
+        assert statuses <= {200, 503}
+        assert b"deadline_guarded_late" not in platform.log
