A rejected client's large body is not read, as it took the time of other clients

Found by tests/test_crowds.py in a whole run of the suite.

Cause, by trials of each part alone: a rejected connection was read until eight later ones had come, and what had arrived was read before its close, up to 128 KiB each. The crowd sent much more than before, and the process spent its time on reading it. So did the clients of half requests that lost their place, which stayed open too.

Now a rejected connection is closed after 16 KiB, and one read empties the kernel's buffer before it; a client of half a request loses its place at once after its 503, as before. A rejected client with a larger request may again lose the 503 in a reset.

--- a/runspool/node/client_connections.py
+++ b/runspool/node/client_connections.py
@@ -62,8 +62,6 @@
             await self._run(handler)
             if handler.ended_for_room_unanswered:
                 await self.rejected.reject(connection)
-            elif handler.ended_for_room_refused:
-                await self.rejected.close_later(connection)
         finally:
             connection.close()
 
--- a/runspool/node/request_handler.py
+++ b/runspool/node/request_handler.py
@@ -127,7 +127,6 @@
         self.idle_since = 0
         self.request_since = now()
         self._has_given_up_place = False
-        self._refused_for_room = False
         self._is_body_guarded = False  # whether the wait for the present body has ended by its deadline
 
     def claim(self, at: int) -> tuple[Claim, int]:
@@ -161,7 +160,6 @@
                 self.disconnect_reader()
             case _ if self.has_partial_request:
                 self.refuse_part(NO_ROOM, lingers=False)
-                self._refused_for_room = True
             case _ if not self.stop_waiting_for_request():
                 return False
         self._has_given_up_place = True
@@ -175,11 +173,6 @@
         """
         return self._has_given_up_place and self.awaits_first_request and not self.response_started
 
-    @property
-    def ended_for_room_refused(self) -> bool:
-        """Whether a request of which only a part had arrived was refused because there was no room."""
-        return self._refused_for_room
-
     @property
     def closing(self) -> bool:
         """Whether the node has stopped accepting requests and this connection has had its first request.
--- a/runspool/transport/tcp.py
+++ b/runspool/transport/tcp.py
@@ -30,8 +30,6 @@
 MAX_UNREAD_BYTES = 262_144
 # Number of bytes that are read and discarded on a connection. A peer that sends more is treated as gone.
 MAX_DISCARDED_BYTES = 8 << 20
-# Number of reads that empty the kernel's buffer of a connection, of twice KERNEL_BUFFER_BYTES.
-MAX_DISCARDING_READS = 4
 # Seconds between two reads of data that is discarded, and the number of connections up to which it holds.
 # With more of them it grows in proportion: peers may send at full speed, and reading would take all the time.
 DISCARD_INTERVAL = 0.002
@@ -250,15 +248,13 @@
         self._resume_reading()
 
     def discard_arrived(self) -> None:
-        """Discard everything that has arrived, so that close() does not reset the connection."""
+        """Discard what has arrived, so that close() does not reset the connection unless it is much."""
         self._drop_buffer()
         if self._closed:
             return
         descriptor = self.transport.get_extra_info("socket").fileno()
         with suppress(OSError):  # nothing is left to read
-            for _ in range(MAX_DISCARDING_READS):
-                if not os.readv(descriptor, [_discard_buffer]):
-                    return
+            os.readv(descriptor, [_read_buffer])
 
     async def discard_until_closed(self) -> None:
         """Discard data until the peer has closed or has sent more than MAX_DISCARDED_BYTES."""
