--- a/tests/soak/client_workload.py
+++ b/tests/soak/client_workload.py
@@ -24,11 +24,14 @@
 LONGEST_WAIT = 22.0
 COMES_AGAIN_AFTER = 0.05  # seconds after which some clients that have left send their request again
 CONNECTS_AFTER_STOP = 0.3  # seconds after SIGTERM for which clients still open new connections to a node
+# Seconds after a kill until clients notice it at the latest, by the platform's pages. Until then they go on
+# coming to the address of the node, also while its next process starts.
+NOTICED_AFTER_KILL = 3.2
 DEADLINE_SHARES = (0.25, 0.4, 0.65, 1.0)  # deadlines of requests as fractions of the longest deadline
 
 
 class ClientWorkload:
-    """Sends requests to the nodes that are up, at a mean rate per node.
+    """Sends requests to the nodes that clients take for up, at a mean rate per node.
 
     Attributes:
         rate: the mean number of requests per second and node.
@@ -69,11 +72,19 @@
                 client.close()
 
     def _connects(self, node: SoakNode) -> bool:
-        """Return whether clients open new connections to a node; shortly after SIGTERM they still do."""
+        """Return whether clients open new connections to a node.
+
+        Shortly after SIGTERM they still do, and also for a while after a kill, whether or not the node is
+        ready again.
+        """
         if node.stopped_at is None or node.process.returncode is not None:
-            return node.up
+            return node.up or self._is_kill_unnoticed(node)
         return asyncio.get_running_loop().time() < node.stopped_at + CONNECTS_AFTER_STOP
 
+    def _is_kill_unnoticed(self, node: SoakNode) -> bool:
+        now = asyncio.get_running_loop().time()
+        return node.killed_at is not None and now < node.killed_at + NOTICED_AFTER_KILL
+
     def _accepts_requests(self, node: SoakNode) -> bool:
         """Return whether a client has an idle connection to a node or can open one.
 
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -66,6 +66,7 @@
         stopped_at: when SIGTERM was sent to the present process; None if it was not.
         ended_by_test: whether the present process was signalled to end.
         is_listening: whether the present process has logged that it listens.
+        killed_at: when the last process that got SIGKILL without SIGTERM got it; None if there was none.
     """
 
     environment: Environment
@@ -80,6 +81,7 @@
     stopped_at: float | None = None
     ended_by_test: bool = False
     is_listening: bool = False
+    killed_at: float | None = None
 
     async def prepare(self, make_proxy: Callable[[str, str], FaultProxy]) -> None:
         """Start the agent and the proxies; `make_proxy` is called with the node's and an engine's name."""
@@ -180,6 +182,8 @@
                 self.environment.record("told_to_end", node=self.name, kill=number is signal.SIGKILL)
                 if number is signal.SIGTERM and self.stopped_at is None:
                     self.stopped_at = asyncio.get_running_loop().time()
+                elif self.stopped_at is None:
+                    self.killed_at = asyncio.get_running_loop().time()
             # send_signal() would reap a process that has just ended, and asyncio would then report 255.
             with suppress(ProcessLookupError):
                 os.kill(self.process.pid, number)
--- a/tests/soak/sabotage.py
+++ b/tests/soak/sabotage.py
@@ -20,7 +20,7 @@
 from runspool.limits.memory_account import MemoryAccount
 from runspool.limits.memory_watch import MemoryWatch
 from runspool.node import __main__ as program
-from runspool.node import discovery_client, search_backoff
+from runspool.node import discovery_client, search_backoff, server
 from runspool.node import engine_client as calls
 from runspool.node.client_connections import ClientConnections
 from runspool.node.event_stream import EventStreamParser
@@ -31,6 +31,7 @@
 from runspool.scheduling.request_lifecycle import AttemptPolicy, DenialReason, RequestLifecycle
 from runspool.scheduling.scheduler import Scheduler
 from runspool.scheduling.types import Idempotency
+from runspool.service import accept_loop
 from runspool.service.executor_base import RequestExecutorBase
 from runspool.service.pending_request import ResponseKind
 from runspool.service.request_executor import RequestExecutor
@@ -198,6 +199,17 @@
     EventStreamParser._parse_data = parse_unless_repeated  # type: ignore[method-assign]
 
 
+def read_nothing_at_start() -> None:
+    """Accept connections only after the wait for the first endpoint list."""
+    original = accept_loop.accept_connections
+
+    async def accept_later(*arguments: Any) -> None:
+        await anyio.sleep(server.FIRST_LIST_WAIT_SECONDS)
+        await original(*arguments)
+
+    server.accept_connections = accept_later  # type: ignore[assignment, attr-defined]
+
+
 def forget_ids() -> None:
     """Forget an id with its request."""
     RequestIds.is_known = lambda self, request_id, now: request_id in self.open  # type: ignore[method-assign]
@@ -227,6 +239,7 @@
     "alive": exit_unexpectedly,
     "lost.waits": count_every_event,
     "lost.repeats": ignore_repeated_events,
+    "lost.starts": read_nothing_at_start,
     "twice.forgets": forget_ids,
     "memory": hold_without_limit,
 }
--- a/tests/soak/sabotage_conditions.py
+++ b/tests/soak/sabotage_conditions.py
@@ -75,6 +75,13 @@
         [_fault("slow", DECODE, nodes)],
         soak=Conditions(longest_deadline=0.5, resumable=False, longest_stream=10.0, long_share=1.0),
     ),
+    "lost.starts": lambda nodes: RuleConditions(
+        [
+            Fault(0.2, "agent_silent", 4.5, (), nodes),
+            *(Fault(0.5, "kill", 0.0, (), (node,)) for node in nodes),
+        ],
+        soak=Conditions(longest_deadline=0.3),
+    ),
     "twice.forgets": lambda nodes: RuleConditions(
         [_fault("slow", DECODE, nodes)], mixed_engines=0, disconnecting_share=0.8
     ),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -27,6 +27,7 @@
     "calls.owed",
     "lost.waits",
     "lost.repeats",
+    "lost.starts",
     "twice.forgets",
 )
 TIMEOUT = 90.0  # seconds for one soak, including the ends of its processes
