Requests that wait for their submission are charged for what it will take

Cause: requests are accepted as they are read now, and submitted later. An open request is admitted by what is held at that moment; its connection to an engine and the first part of its response were charged after many others had been admitted. Requests that are held at a start would have met the same.

--- a/runspool/node/submission_queue.py
+++ b/runspool/node/submission_queue.py
@@ -18,6 +18,7 @@
 import anyio.lowlevel
 import structlog
 
+from runspool.limits.memory_account import ENGINE_CONNECTION_BYTES, MIN_READ_BYTES, MemoryKind
 from runspool.service.clock import now
 from runspool.service.timer_queue import SubmissionTimer
 from runspool.units import TENTHS_PER_MS
@@ -25,6 +26,10 @@
 if TYPE_CHECKING:
     from runspool.node.executor import NodeExecutor, PendingNodeRequest
 
+# Memory that a request takes once it is submitted: its connection to an engine, and the first part of its
+# response, which is held twice.
+SUBMITTED_REQUEST_BYTES = ENGINE_CONNECTION_BYTES + 2 * MIN_READ_BYTES
+
 
 class HoldEnd(Enum):
     """Why the requests of a starting process are not held any longer."""
@@ -50,6 +55,9 @@
         self.is_held = False
         self._held_since = 0
         self._waiting: dict[int, PendingNodeRequest] = {}  # by index, in the order of their arrival
+        # What the requests will take as soon as they are submitted. It is charged before, as many may have
+        # been accepted by then.
+        self._charge = executor.connection_resources.memory.charge(MemoryKind.ENGINE_CONNECTION)
         self._is_submitting = False
 
     def hold(self) -> None:
@@ -63,6 +71,7 @@
             self.executor.submit_to_scheduler(pending)
             return
         self._waiting[pending.index] = pending
+        self._update_charge()
         self.executor.counts["submissions_delayed"] += 1
         expires_at = self.executor.deadline_guard.attempt_deadline(pending)
         self.executor.timers.schedule(expires_at, SubmissionTimer(pending.index))
@@ -77,7 +86,9 @@
 
     def discard(self, pending: PendingNodeRequest) -> bool:
         """Remove a request; return whether it was waiting, and so is unknown to the scheduler."""
-        return self._waiting.pop(pending.index, None) is not None
+        was_waiting = self._waiting.pop(pending.index, None) is not None
+        self._update_charge()
+        return was_waiting
 
     def end_hold(self, reason: HoldEnd) -> None:
         """Submit the requests that wait, or reject them at a stop."""
@@ -106,11 +117,17 @@
             while self._waiting:
                 await anyio.lowlevel.checkpoint()
                 if self._waiting:
-                    self.executor.submit_to_scheduler(self._waiting.pop(next(iter(self._waiting))))
+                    pending = self._waiting.pop(next(iter(self._waiting)))
+                    self._update_charge()
+                    self.executor.submit_to_scheduler(pending)
         finally:
             self._is_submitting = False
 
+    def _update_charge(self) -> None:
+        self._charge.set(len(self._waiting) * SUBMITTED_REQUEST_BYTES)
+
     def _reject(self, request: int) -> None:
         del self._waiting[request]
+        self._update_charge()
         self.executor.reject(request, retry_after=0)
         self.executor.forget_request(request)
--- a/tests/test_guard_delay.py
+++ b/tests/test_guard_delay.py
@@ -17,6 +17,7 @@
 
 from runspool.node.guard_delays import MAX_GUARD_DELAY
 from runspool.node.server import NodeServer
+from runspool.node.submission_queue import SUBMITTED_REQUEST_BYTES
 from runspool.service.clock import now
 from runspool.transport import tcp
 from runspool.units import ms_to_tenths
@@ -194,7 +195,12 @@
     async with platform.open_in_process(wait=False) as server:
         client = await platform.client()
         client.send(post("q1", req_deadline="100m"))
+        await wait_until(lambda: server.executor.requests)
+        held = server.executor.connection_resources.memory.held_by_kind
+        assert held["open_request"] + held["request"] > 0
+        assert held["engine_connection"] == SUBMITTED_REQUEST_BYTES  # before there is a connection
         response = await client.read_response()
+        assert held["engine_connection"] == 0
         assert response.status == 503
         assert json.loads(response.body)["error"]["code"] == "dismissed"
         assert not server.executor.requests
