A request's deadline is guarded as its head is parsed; it is submitted at once again

Cause, by taking back each part alone: the queue that put off submissions beside a crowd let many requests in before the memory of those ahead was charged.

The order is now kept without the queue: a request that has been parsed waits for its turn, and for the rest of its body, at most until its own deadline, and then gets 503 (out_of_time). All requests of a crowd are parsed before any is served, so this guards earlier than the queue did. The queue is for the start alone; its charge stays. GuardDelays records the new moment, and the tests watch it there, with the same bounds.

--- a/runspool/limits/work_turns.py
+++ b/runspool/limits/work_turns.py
@@ -46,11 +46,6 @@
         self._work_started: float | None = None  # of the current iteration; None before its first unit
         self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
 
-    @property
-    def has_waiting(self) -> bool:
-        """Whether units of work wait for a later iteration."""
-        return bool(self._waiting)
-
     async def take(self, worker: Worker) -> None:
         """Wait until the connection may do one unit of work. A cancelled call grants nothing."""
         worker.units += 1
--- a/runspool/node/executor.py
+++ b/runspool/node/executor.py
@@ -134,11 +134,7 @@
     # Requests and events from outside.
 
     def submit(
-        self,
-        client_request: ClientRequest,
-        listener: ResponseListener[bytes],
-        received_at: int,
-        unguarded_since: int,
+        self, client_request: ClientRequest, listener: ResponseListener[bytes], received_at: int
     ) -> PendingNodeRequest:
         """Accept a request, and submit it to the scheduler in its turn. It must get one final response.
 
@@ -146,7 +142,6 @@
             client_request: The request.
             listener: Receives the response's stream.
             received_at: When the head of the request was received, in tenths of a millisecond.
-            unguarded_since: Since when the whole request has been here without a guard of its deadline.
 
         Returns:
             The accepted request, whose final response the caller waits for.
@@ -182,7 +177,6 @@
         )
         self.request_ids.opened(client_request.id)
         self.accept(pending)
-        self.guard_delays.record(pending.id, now() - unguarded_since)
         self.submissions.add(pending)
         return pending
 
--- a/runspool/node/request_handler.py
+++ b/runspool/node/request_handler.py
@@ -15,7 +15,7 @@
 from runspool.node.request_parser import parse_client_request, parse_time_limit
 from runspool.scheduling.request_lifecycle import InvariantViolation
 from runspool.service.clock import now
-from runspool.service.http_connection import SLOW_READER_TIME, BodyWait, HttpConnection
+from runspool.service.http_connection import SLOW_READER_TIME, HttpConnection, RequestWait
 from runspool.service.pending_request import FinalResponse, RequestNotAcceptedError, ResponseKind
 from runspool.service.streaming_response import StreamingResponse
 from runspool.transport.tcp import ConnectionClosedError, TcpConnection
@@ -40,7 +40,7 @@
 NO_ROOM = HttpRefusal(
     503, "connections", "this server has no room for incomplete requests; ask again", PeerLimit.CLIENTS
 )
-OUT_OF_TIME = HttpRefusal(503, "out_of_time", "not run: the time of the request ended before its body")
+OUT_OF_TIME = HttpRefusal(503, "out_of_time", "not run: the time of the request is over")
 # A connection that waits for its first request, or for the rest of one, keeps its place for this time, in
 # tenths of a millisecond.
 INCOMPLETE_REQUEST_TIME = 500
@@ -127,7 +127,6 @@
         self.idle_since = 0
         self.request_since = now()
         self._has_given_up_place = False
-        self._is_body_guarded = False  # whether the wait for the present body has ended by its deadline
 
     def claim(self, at: int) -> tuple[Claim, int]:
         """Return what the connection is kept for at a time, and since when that is so.
@@ -191,24 +190,25 @@
         deadline = super()._deadline_after(wait_ms)
         return min(deadline, self.first_request_deadline) if self.awaits_first_request else deadline
 
-    def body_wait(self, request: HttpRequest, received_at: int) -> BodyWait:
-        """Return how long to wait for the rest of the body: not beyond the request's own deadline.
+    def request_wait(self, request: HttpRequest, received_at: int) -> RequestWait:
+        """Return how long a request may wait until it is accepted: not beyond its own deadline.
 
-        The deadline counts from the end of the head. A body may take long to read although all of it has
-        arrived, so the deadline is guarded from here on.
+        The deadline counts from the end of the head. Beside a crowd, a request that has arrived may wait long
+        for its turns, so the deadline is guarded from here on.
         """
-        wait = super().body_wait(request, received_at)
+        wait = super().request_wait(request, received_at)
         try:
             time_limit = parse_time_limit(request.headers.get("req-deadline"))
         except InvalidRequestError:
             return wait  # reported once the whole request has been read
-        self._is_body_guarded = True
+        self.executor.guard_delays.record(
+            request.headers.get("req-id", ""), now() - received_at if request.complete else 0
+        )
         time_left = received_at + time_limit - self.executor.settings.response_slack - now()
         deadline = anyio.current_time() + time_left / TENTHS_PER_SECOND
-        return wait if wait.ends_at <= deadline else BodyWait(deadline, OUT_OF_TIME)
+        return wait if wait.ends_at <= deadline else RequestWait(deadline, OUT_OF_TIME)
 
     async def _read_head(self) -> HttpRequest | None:
-        self._is_body_guarded = False
         self.idle_since = self.request_since = now()
         request = await super()._read_head()
         self.idle_since = 0
@@ -301,8 +301,7 @@
             if not self.holds_open_request():
                 self.limit_monitor.reached(PeerLimit.MEMORY, code="memory", **self.memory.details())
                 raise RequestNotAcceptedError("memory", "this server holds too many requests; ask again")
-            unguarded_since = now() if self._is_body_guarded else self.arrived_at
-            return self.executor.submit(client_request, streaming, received_at, unguarded_since)
+            return self.executor.submit(client_request, streaming, received_at)
         except InvalidRequestError as error:
             refusal = HttpRefusal(error.status, "misworded", str(error))
         except RequestNotAcceptedError as rejection:
--- a/runspool/node/submission_queue.py
+++ b/runspool/node/submission_queue.py
@@ -1,13 +1,9 @@
 """Accepted requests that wait for their submission to the scheduler.
 
-A request is accepted as soon as it has been read, so that its deadline is guarded. Its submission may have to
-wait:
-
-- When a process starts, the endpoint list of its configuration may be outdated: a request that is scheduled
-  by it could be sent to an engine that is already being removed. The kernel accepts connections as soon as
-  the node listens, so requests arrive before there is a current list.
-- Submitting a request takes much longer than reading one. While many requests arrive at the same time, those
-  that have not been read come first, because nothing guards their deadlines yet.
+When a process starts, the endpoint list of its configuration may be outdated: a request that is scheduled by
+it could be sent to an engine that is already being removed. The kernel accepts connections as soon as the
+node listens. Their requests are therefore read and accepted at once, so that their deadlines are guarded
+while they wait for the list.
 """
 
 from __future__ import annotations
@@ -67,7 +63,7 @@
 
     def add(self, pending: PendingNodeRequest) -> None:
         """Submit an accepted request now or later, but not when it is too late for an attempt."""
-        if not (self.is_held or self._waiting or self.executor.connection_resources.work_turns.has_waiting):
+        if not (self.is_held or self._waiting):
             self.executor.submit_to_scheduler(pending)
             return
         self._waiting[pending.index] = pending
--- a/runspool/service/http_connection.py
+++ b/runspool/service/http_connection.py
@@ -78,12 +78,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BodyWait:
-    """The wait for the rest of a request's body.
+class RequestWait:
+    """The wait of a request whose head is complete, until it is served.
 
     Attributes:
         ends_at: When the wait ends, in seconds on the event loop's clock.
-        refusal: The response if the body is not complete by then.
+        refusal: The response if the request is not served by then.
     """
 
     ends_at: float
@@ -124,8 +124,6 @@
             close the connection, has disconnected or has sent an invalid request.
         response_started: True once anything has been sent to the client, `100 Continue` included. A subclass
             that uses it clears it at the start of each request.
-        arrived_at: When the last byte of the request that is served arrived at this host, in tenths of a
-            millisecond on the front's clock; 0 before the first request.
     """
 
     # Prefixes of the lower-case names of headers that a request may contain only once.
@@ -154,7 +152,6 @@
         self.write_timeout_seconds = limits.answer_write_ms / 1000
         self.keeps_alive = True
         self.response_started = False
-        self.arrived_at = 0
         self._count_active = count_active
         self._head_scope: anyio.CancelScope | None = None  # set while waiting for the head of a request
         self._head_started = False  # whether a part of that head has been read
@@ -398,25 +395,21 @@
         if request is None:
             self.keeps_alive = False
             return
-        received_at = self.arrived_at = self._last_input_at()
+        received_at = now() - int(self.tcp.input_age() * TENTHS_PER_SECOND)
         self._count_active(1)
         try:
+            wait = self.request_wait(request, received_at)
             if not request.complete:
-                await self._read_body(request, self.body_wait(request, received_at))
-                self.arrived_at = self._last_input_at()
+                await self._read_body(request, wait)
             self.parser.ready.popleft()
             self.keeps_alive = request.keeps_alive
-            await self.work_turns.take(self)
+            await self._wait_for_turn(wait)
             await self.route(request, received_at)
         finally:
             self.release_body()
             self._request_charge.set(self.parser.held_bytes)
             self._count_active(-1)
 
-    def _last_input_at(self) -> int:
-        """Return when the input that was read last arrived at this host, on the front's clock."""
-        return now() - int(self.tcp.input_age() * TENTHS_PER_SECOND)
-
     async def _read_head(self) -> HttpRequest | None:
         """Return the next request once its head is complete, or None if the connection ends without one."""
         ready = self.parser.ready
@@ -466,14 +459,25 @@
         """Return the end of a wait that starts now, in seconds on the event loop's clock."""
         return anyio.current_time() + wait_ms / 1000
 
-    def body_wait(self, request: HttpRequest, received_at: int) -> BodyWait:
-        """Return how long to wait for the rest of the body of a request.
+    def request_wait(self, request: HttpRequest, received_at: int) -> RequestWait:
+        """Return how long a request whose head is complete may wait for the rest of its body and its turn.
 
         `received_at` is when the end of its head arrived at this host, on the front's clock.
         """
-        return BodyWait(self._deadline_after(self.limits.body_ms), BODY_TOOK_TOO_LONG)
+        return RequestWait(self._deadline_after(self.limits.body_ms), BODY_TOOK_TOO_LONG)
+
+    async def _wait_for_turn(self, wait: RequestWait) -> None:
+        """Wait until this connection may serve its request.
+
+        Raises:
+            InvalidHttpRequestError: The wait has ended before.
+        """
+        with anyio.CancelScope(deadline=wait.ends_at):
+            await self.work_turns.take(self)
+            return
+        raise InvalidHttpRequestError(wait.refusal)
 
-    async def _read_body(self, request: HttpRequest, wait: BodyWait) -> None:
+    async def _read_body(self, request: HttpRequest, wait: RequestWait) -> None:
         if request.expects_continue:
             await self.send(CONTINUE_RESPONSE)
         with anyio.CancelScope(deadline=wait.ends_at) as self._body_scope:
--- a/tests/test_guard_delay.py
+++ b/tests/test_guard_delay.py
@@ -47,13 +47,13 @@
         self.sent_at: dict[str, int] = {}
         self.guarded_at: dict[str, int] = {}
         self._tasks: list[asyncio.Task[None]] = []
-        schedule = server.executor.deadline_guard.schedule
+        record = server.executor.guard_delays.record
 
-        def observe(pending: Any) -> None:
-            schedule(pending)
-            self.guarded_at.setdefault(pending.id, now())
+        def observe(request: str, delay: int) -> None:
+            record(request, delay)
+            self.guarded_at.setdefault(request, now())
 
-        monkeypatch.setattr(server.executor.deadline_guard, "schedule", observe)
+        monkeypatch.setattr(server.executor.guard_delays, "record", observe)
 
     async def ask(self, name: str, client: Client | None = None, **fields: Any) -> None:
         """Send a request, in two pieces if it is large, and go on without its answer."""
@@ -166,18 +166,18 @@
     async with platform.open_in_process() as server:
         order: list[str] = []
         submit = server.executor.submit_to_scheduler
-        schedule = server.executor.deadline_guard.schedule
+        record = server.executor.guard_delays.record
 
         def observe_submit(pending: Any) -> None:
             order.append("scheduled")
             submit(pending)
 
-        def observe_guard(pending: Any) -> None:
+        def observe_guard(request: str, delay: int) -> None:
             order.append("guarded")
-            schedule(pending)
+            record(request, delay)
 
         monkeypatch.setattr(server.executor, "submit_to_scheduler", observe_submit)
-        monkeypatch.setattr(server.executor.deadline_guard, "schedule", observe_guard)
+        monkeypatch.setattr(server.executor.guard_delays, "record", observe_guard)
         clients = [await platform.client() for _ in range(80)]
         for index, client in enumerate(clients):
             client.send(post(f"q{index}"))
