A closed connection's descriptor is not read: it may belong to another connection

Found by reading, never released: discard_arrived() read from the descriptor of a transport that was closing, whose number the kernel may have given to a connection accepted in the same iteration of the event loop. Its bytes would have been lost. It now asks the transport first. No test: the order of events within one iteration cannot be forced with uvloop.

--- a/runspool/transport/tcp.py
+++ b/runspool/transport/tcp.py
@@ -250,8 +250,8 @@
     def discard_arrived(self) -> None:
         """Discard what has arrived, so that close() does not reset the connection unless it is much."""
         self._drop_buffer()
-        if self._closed:
-            return
+        if self._closed or self.transport.is_closing():
+            return  # the descriptor may belong to another connection already
         descriptor = self.transport.get_extra_info("socket").fileno()
         with suppress(OSError):  # nothing is left to read
             os.readv(descriptor, [_read_buffer])
