The tests' platform asks for the node's health until it is ready

Since a node accepts before it has its list and says 503 until then; the question came in between. PROTOCOL.md: the front "admits a front node once GET /_health has returned 200 after its start". The harness asks until then, for at most its usual time, and asserts the 200 as before.

--- a/tests/node_platform/platform.py
+++ b/tests/node_platform/platform.py
@@ -160,17 +160,21 @@
         """Wait until the node reports that it is healthy and watches the endpoint list."""
         if self.redirection:
             await self.wait_until_accepting_connections()
+            await self.wait_until_healthy()
         else:
             await self.wait_for_log_event("request_hold_ended")
-        client = await self.client()
-        client.send(HEALTH_REQUEST)
-        assert (await client.read_response()).status == 200
-        client.close()
+        assert (await self.send_request(HEALTH_REQUEST)).status == 200
         await self.wait_until(
             lambda: any("after=" in target for target in self.list_requests)
             or bool(self.scripted_list_responses)
         )
 
+    async def wait_until_healthy(self) -> None:
+        """Ask for the node's health until it is ready, as the platform does."""
+        async with asyncio.timeout(WAIT_TIMEOUT):
+            while (await self.send_request(HEALTH_REQUEST)).status != 200:
+                await asyncio.sleep(0.01)
+
     async def wait_until_accepting_connections(self) -> None:
         """Wait until the node accepts connections, without use of its log."""
         async with asyncio.timeout(WAIT_TIMEOUT):
--- a/tests/test_start_in_outage.py
+++ b/tests/test_start_in_outage.py
@@ -96,13 +96,6 @@
     return (await platform.send_request(HEALTH_REQUEST)).status
 
 
-async def wait_until_ready(platform: Platform) -> None:
-    """Wait until the node's health check succeeds."""
-    async with asyncio.timeout(WAIT_TIMEOUT):
-        while await health(platform) != 200:
-            await asyncio.sleep(0.02)
-
-
 def check_answers(answers: list[Answer]) -> None:
     """Check that none was late, and that whoever had the time for the whole wait was served."""
     assert not [answer for answer in answers if answer.is_late]
@@ -126,7 +119,7 @@
             asking.append(asyncio.ensure_future(ask(platform, f"q{index}", limit_ms, index % 2 == 1)))
             await asyncio.sleep(INTERVAL_SECONDS)
         check_answers(await asyncio.gather(*asking))
-        await wait_until_ready(platform)
+        await platform.wait_until_healthy()
 
 
 async def test_a_crowd_during_a_start_in_an_outage_is_answered_in_time(tmp_path: Path) -> None:
@@ -183,7 +176,7 @@
         client.close()
         await platform.wait_for_log_event("request_ended")
         platform.list_gate.set()
-        await wait_until_ready(platform)
+        await platform.wait_until_healthy()
         assert (await ask(platform, "q2", LONG_LIMIT_MS)).status == 200
         assert not platform.attempts("q1")
         platform.signal(signal.SIGTERM)
@@ -221,7 +214,7 @@
             platform.signal(signal.SIGHUP)
             await asyncio.sleep(INTERVAL_SECONDS)
         check_answers(await asyncio.gather(*asking))
-        await wait_until_ready(platform)
+        await platform.wait_until_healthy()
 
 
 async def test_a_request_id_that_is_held_is_known(tmp_path: Path) -> None:
