A whole request waits for its turn until its own deadline, not for 2.2 s at most

Found by reading the change again, never released: the wait of a request for its turn to be served ended with the 2.2 s for a body, also where the request was whole, and then gave 408 "the body took too long". A request with 6 s of time that waited so long beside a crowd would have been refused, and so would one of the house's front, or a health check.

The time for a body now limits the reading of the body alone; the wait for the turn has the request's own deadline as its only limit, and none where the request has none, as before.

test_a_whole_request_may_wait_for_its_turn_until_its_own_deadline: 408 before.

--- a/runspool/node/request_handler.py
+++ b/runspool/node/request_handler.py
@@ -196,17 +196,16 @@
         The deadline counts from the end of the head. Beside a crowd, a request that has arrived may wait long
         for its turns, so the deadline is guarded from here on.
         """
-        wait = super().request_wait(request, received_at)
         try:
             time_limit = parse_time_limit(request.headers.get("req-deadline"))
         except InvalidRequestError:
-            return wait  # reported once the whole request has been read
+            return super().request_wait(request, received_at)  # the error is reported once all has been read
         self.executor.guard_delays.record(
             request.headers.get("req-id", ""), now() - received_at if request.complete else 0
         )
         time_left = received_at + time_limit - self.executor.settings.response_slack - now()
         deadline = anyio.current_time() + time_left / TENTHS_PER_SECOND
-        return wait if wait.ends_at <= deadline else RequestWait(deadline, OUT_OF_TIME)
+        return RequestWait(deadline, OUT_OF_TIME)
 
     async def _read_head(self) -> HttpRequest | None:
         self.idle_since = self.request_since = now()
--- a/runspool/service/http_connection.py
+++ b/runspool/service/http_connection.py
@@ -8,6 +8,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import inf
 from typing import Protocol
 
 import anyio
@@ -460,11 +461,11 @@
         return anyio.current_time() + wait_ms / 1000
 
     def request_wait(self, request: HttpRequest, received_at: int) -> RequestWait:
-        """Return how long a request whose head is complete may wait for the rest of its body and its turn.
+        """Return how long a request whose head is complete may wait until it is served; not limited here.
 
         `received_at` is when the end of its head arrived at this host, on the front's clock.
         """
-        return RequestWait(self._deadline_after(self.limits.body_ms), BODY_TOOK_TOO_LONG)
+        return RequestWait(inf, BODY_TOOK_TOO_LONG)
 
     async def _wait_for_turn(self, wait: RequestWait) -> None:
         """Wait until this connection may serve its request.
@@ -480,6 +481,8 @@
     async def _read_body(self, request: HttpRequest, wait: RequestWait) -> None:
         if request.expects_continue:
             await self.send(CONTINUE_RESPONSE)
+        body_wait = RequestWait(self._deadline_after(self.limits.body_ms), BODY_TOOK_TOO_LONG)
+        wait = min(body_wait, wait, key=lambda each: each.ends_at)
         with anyio.CancelScope(deadline=wait.ends_at) as self._body_scope:
             try:
                 while not request.complete:
--- a/tests/test_guard_delay.py
+++ b/tests/test_guard_delay.py
@@ -10,11 +10,13 @@
 import errno
 import json
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from runspool.node import request_handler
 from runspool.node.guard_delays import MAX_GUARD_DELAY
 from runspool.node.server import NodeServer
 from runspool.node.submission_queue import SUBMITTED_REQUEST_BYTES
@@ -230,3 +232,20 @@
         statuses = {(await client.read_head()).status for client in clients}
         assert statuses <= {200, 503}
         assert b"deadline_guarded_late" not in platform.log
+
+
+# The limit of the time for a body ended the wait of a whole request for its turn, with status 408.
+async def test_a_whole_request_may_wait_for_its_turn_until_its_own_deadline(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    platform = Platform(tmp_path, ENGINES)
+    async with platform.open_in_process() as server:
+        take = server.executor.connection_resources.work_turns.take
+
+        async def take_late(worker: Any) -> None:
+            await asyncio.sleep(0.05)
+            await take(worker)
+
+        monkeypatch.setattr(server.executor.connection_resources.work_turns, "take", take_late)
+        monkeypatch.setattr(request_handler, "LIMITS", replace(request_handler.LIMITS, body_ms=10.0))
+        assert (await platform.send_request(post("q1"))).status == 200
