The accept loop doubles its delay as it goes, without a function and a second counter

Read again: the delay was computed from the count of failures with a bound of its own. It is doubled after each failure up to its maximum now, as the restart of background tasks does. Same delays: 1 ms, doubled up to 0.1 s; same log lines.

--- a/runspool/service/accept_loop.py
+++ b/runspool/service/accept_loop.py
@@ -23,7 +23,6 @@
 # is doubled after each failure. Meanwhile nobody reads the requests of clients in the backlog.
 MIN_ACCEPT_RETRY_SECONDS = 0.001
 MAX_ACCEPT_RETRY_SECONDS = 0.1
-MAX_RETRY_DOUBLINGS = 10  # bounds the computation; the delay has its maximum before
 RESOURCES_EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 
@@ -47,24 +46,25 @@
             descriptors; may free some.
     """
     log = structlog.get_logger()
-    failures = all_failures = accepted_in_turn = 0
+    failures = accepted_in_turn = 0
+    retry_delay = MIN_ACCEPT_RETRY_SECONDS
     while True:
         try:
             accepted = await tcp.accept_socket(listener)
         except Exception as error:  # noqa: BLE001 - the loop must survive any error of the event loop
             failures += 1
-            all_failures += 1
-            if all_failures.bit_count() == 1:  # logs the 1st, 2nd, 4th, 8th, ... failure
-                log.error("accept_failed", reason=repr(error), failures=all_failures)  # noqa: TRY400 - no traceback
+            if failures.bit_count() == 1:  # logs the 1st, 2nd, 4th, 8th, ... failure
+                log.error("accept_failed", reason=repr(error), failures=failures)  # noqa: TRY400 - no traceback
             # After resource exhaustion, clients in the backlog can be served once resources are free again.
             # Any other OSError concerns a single connection that its peer or the network has closed, so the
             # loop only yields to other tasks before the next accept.
             exhausted = not isinstance(error, OSError) or error.errno in RESOURCES_EXHAUSTED
             if exhausted:
                 free_resources()
-            await anyio.sleep(_retry_delay(failures) if exhausted else 0)
+            await anyio.sleep(retry_delay if exhausted else 0)
+            retry_delay = min(2 * retry_delay, MAX_ACCEPT_RETRY_SECONDS)
             continue
-        failures = 0
+        retry_delay = MIN_ACCEPT_RETRY_SECONDS
         tasks.start_soon(_serve_accepted, accepted, serve_client, memory)
         accepted_in_turn += 1
         if accepted_in_turn >= MAX_ACCEPTS_IN_TURN:
@@ -72,12 +72,6 @@
             await anyio.lowlevel.checkpoint()
 
 
-def _retry_delay(failures: int) -> float:
-    """Return the seconds until the next accept after this number of consecutive failures."""
-    doublings = min(failures - 1, MAX_RETRY_DOUBLINGS)
-    return min(MAX_ACCEPT_RETRY_SECONDS, MIN_ACCEPT_RETRY_SECONDS * (1 << doublings))
-
-
 async def _serve_accepted(
     accepted: socket.socket,
     serve_client: Callable[[TcpConnection], Coroutine[Any, Any, None]],
