A request leaves the submission queue by one way, with its charge

Read again: the removal and the charge stood three times. The queue submits before it yields, so it need not look again whether anybody is left; still one request in each iteration of the event loop.

--- a/runspool/node/submission_queue.py
+++ b/runspool/node/submission_queue.py
@@ -82,9 +82,7 @@
 
     def discard(self, pending: PendingNodeRequest) -> bool:
         """Remove a request; return whether it was waiting, and so is unknown to the scheduler."""
-        was_waiting = self._waiting.pop(pending.index, None) is not None
-        self._update_charge()
-        return was_waiting
+        return self._remove(pending.index)
 
     def end_hold(self, reason: HoldEnd) -> None:
         """Submit the requests that wait, or reject them at a stop."""
@@ -111,19 +109,23 @@
         """Submit all requests that wait, one in each iteration of the event loop."""
         try:
             while self._waiting:
+                earliest = next(iter(self._waiting.values()))
+                self._remove(earliest.index)
+                self.executor.submit_to_scheduler(earliest)
                 await anyio.lowlevel.checkpoint()
-                if self._waiting:
-                    pending = self._waiting.pop(next(iter(self._waiting)))
-                    self._update_charge()
-                    self.executor.submit_to_scheduler(pending)
         finally:
             self._is_submitting = False
 
+    def _remove(self, request: int) -> bool:
+        """Remove a request with its charge; return whether it was waiting."""
+        was_waiting = self._waiting.pop(request, None) is not None
+        self._update_charge()
+        return was_waiting
+
     def _update_charge(self) -> None:
         self._charge.set(len(self._waiting) * SUBMITTED_REQUEST_BYTES)
 
     def _reject(self, request: int) -> None:
-        del self._waiting[request]
-        self._update_charge()
+        self._remove(request)
         self.executor.reject(request, retry_after=0)
         self.executor.forget_request(request)
