The log says what a response has stated of its size and what its client waits for

`attempt_ended` has `framing` (part, stated bytes, bytes to come, time since) and `awaited` (event, rest of an event, stated bytes after the end, end of the response), and node_stopped counts stream_ended_awaiting_*.

--- a/runspool/engines/attempt_result.py
+++ b/runspool/engines/attempt_result.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol, TypeVar
 
 from runspool.engines.failure_classification import STATUS_BY_CAUSE, FailureCause
+from runspool.engines.stream_wait import AwaitedPart
 from runspool.scheduling.types import AttemptStatus, LoadReport
 
 Chunk = TypeVar("Chunk", contravariant=True)
@@ -21,6 +22,23 @@
         """Handle the next chunk of the stream."""
 
 
+@dataclass(frozen=True, slots=True)
+class FramingState:
+    """What a response had stated about its body at a time, for the log.
+
+    Attributes:
+        part_number: The number of chunks so far; 1 for a body with a `Content-Length`.
+        part_bytes: The stated size of the last of them, in bytes.
+        remaining_bytes: The bytes of it that were still to come.
+        stated_for: The time since its size was stated, in tenths of a millisecond.
+    """
+
+    part_number: int
+    part_bytes: int
+    remaining_bytes: int
+    stated_for: int
+
+
 @dataclass(slots=True)
 class AttemptResult:
     """The outcome of an attempt.
@@ -39,6 +57,8 @@
         finish_reason: Reason for the end of the output, as reported by the engine.
         reached_engine: True once the engine has sent any byte, which shows that it received the request or at
             least its head.
+        framing: What the response had stated about its body when the attempt ended; None if it had no head.
+        awaited: What the client of the stream waited for; None if no stream has started.
         first_byte_at: Time immediately before the first byte of the request was sent, in tenths of a
             millisecond; None if none was sent.
         state: Identifies the prefill state that the engine holds, in the form of the engine protocol.
@@ -55,6 +75,8 @@
     idle_time: int | None = None
     finish_reason: str = ""
     reached_engine: bool = False
+    framing: FramingState | None = None
+    awaited: AwaitedPart | None = None
     first_byte_at: int | None = None
     state: Any = None
     load_report: LoadReport | None = None
--- a/runspool/engines/http_exchange.py
+++ b/runspool/engines/http_exchange.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from runspool.engines.attempt_result import FramingState
 from runspool.engines.connection_pool import (
     Address,
     ClientSettings,
@@ -39,6 +40,9 @@
 # A read of up to this size, in bytes, is worked on without a turn: it costs little more than the turn.
 MAX_READ_WITHOUT_TURN = 2_048
 
+# Maximum size that a stream may state for a chunk of it, in bytes, where no protocol says less.
+DEFAULT_MAX_STREAM_PART_BYTES = 16_777_216
+
 # Returns the head and the body of the encoded request. The argument is the time remaining for it, in tenths
 # of a millisecond.
 RequestEncoder = Callable[[int], tuple[bytes, bytes]]
@@ -53,9 +57,19 @@
         timer: Time limit of the exchange; set together with `connection`.
         reached_engine: True once any byte of the response has arrived.
         body_bytes: Number of bytes held of a body that is not a stream.
+        part_number: Number of the last part of the body whose stated size has been read.
+        part_stated_at: When that was, in tenths of a millisecond.
     """
 
-    __slots__ = ("body_bytes", "connection", "permit", "reached_engine", "timer")
+    __slots__ = (
+        "body_bytes",
+        "connection",
+        "part_number",
+        "part_stated_at",
+        "permit",
+        "reached_engine",
+        "timer",
+    )
 
     def __init__(self, permit: SendPermit = UNRESTRICTED) -> None:
         super().__init__()
@@ -64,12 +78,32 @@
         self.timer: ExchangeTimer
         self.reached_engine = False
         self.body_bytes = 0
+        self.part_number = 0
+        self.part_stated_at = 0
 
     @property
     def response(self) -> ResponseParser:
         """The parser of the response."""
         return self.connection.response
 
+    def record_framing(self, now: int) -> None:
+        """Record when a stated size was read, after bytes have been; `now` is in tenths of a millisecond."""
+        if self.response.framing.part_number != self.part_number:
+            self.part_number = self.response.framing.part_number
+            self.part_stated_at = now
+
+    def framing_state(self, now: int) -> FramingState | None:
+        """Return what the response has stated about its body; None if its head has not arrived.
+
+        `now` is in tenths of a millisecond.
+        """
+        if not self.reached_engine or not self.response.head_complete:
+            return None
+        framing = self.response.framing
+        return FramingState(
+            framing.part_number, framing.part_bytes, framing.remaining_bytes, now - self.part_stated_at
+        )
+
 
 def encode_request(
     method: str, target: str, headers: Mapping[str, str], body: bytes = b""
@@ -94,6 +128,7 @@
         max_connections: int = 0,
         quiet_ms: float = 0,
         resources: ConnectionResources | None = None,
+        max_stream_part_bytes: int = DEFAULT_MAX_STREAM_PART_BYTES,
     ) -> None:
         """Create a client with an empty connection pool.
 
@@ -105,12 +140,16 @@
             quiet_ms: Time after an exchange, in milliseconds, within which the peer may still send surplus
                 bytes on its connection.
             resources: What all connections of the process share; None if nothing is shared.
+            max_stream_part_bytes: Maximum size that a stream may state for a chunk, or for the whole of it,
+                in bytes. A chunk may hold any number of events.
         """
         self.resources = resources or ConnectionResources(PeerLimitMonitor())
         self.limit_monitor = self.resources.limit_monitor
         self.settings = settings
         self.now = now
         self.idle_timeout = ms_to_tenths(idle_timeout_ms)
+        # Maximum size that a stream may state for a chunk of it, in bytes.
+        self.max_stream_part_bytes = max_stream_part_bytes
         self.watchdog = IdleWatchdog(now)
         self.pool = ConnectionPool(
             settings, now, max_connections, ms_to_tenths(quiet_ms), self.resources.memory
@@ -249,12 +288,25 @@
             self.pool.quiet_time - self.now() + connection.idle_since,
         )
 
-    async def _read_head(self, exchange: Exchange, expected_status: int = 200) -> ResponseParser:
-        """Read the response head; raise ExchangeAbortedError if its status is not the expected one."""
+    async def _read_head(
+        self, exchange: Exchange, expected_status: int = 200, is_stream: bool = False
+    ) -> ResponseParser:
+        """Read the response head.
+
+        Args:
+            exchange: The exchange.
+            expected_status: The status of a successful response.
+            is_stream: Whether a successful response is a stream.
+
+        Raises:
+            ExchangeAbortedError: The status is not the expected one, or the response states a size that such
+                a response cannot have.
+        """
         response = exchange.response
         while not response.head_complete:
             await self._read_more(exchange, FailureCause.CLOSED_BEFORE_RESPONSE)
         if response.status == expected_status:
+            self._check_stated_size(exchange)
             return response
         body = b""
         # The status alone decides whether the attempt may have executed. The body is read for `connect_ms` at
@@ -267,6 +319,7 @@
     async def _read_body(self, exchange: Exchange) -> bytes:
         """Read the whole body; raise ExchangeAbortedError if it exceeds `read_answer_bytes`."""
         response = exchange.response
+        self._check_stated_size(exchange)
         body = bytearray(response.take_body())
         while not response.complete:
             await self._read_more(exchange, FailureCause.CLOSED_DURING_RESPONSE)
@@ -288,8 +341,10 @@
 
         Raises:
             ExchangeAbortedError: The connection was lost (with the cause `cause_if_closed`), or the response
-                is not valid HTTP.
+                is not valid HTTP or states a size that it cannot have. Where the head has arrived only now,
+                such a size is not reported: the status may count whatever the body is.
         """
+        had_head = exchange.response.head_complete
         tcp = exchange.connection.tcp
         if not tcp.has_buffered_data:
             exchange.units = 0
@@ -303,8 +358,21 @@
         if not exchange.reached_engine:
             exchange.reached_engine = True
             exchange.permit.response_started()
-        try:
+        with self._reporting_malformed_response(exchange):
             exchange.response.feed(data)
+        exchange.record_framing(self.now())
+        if had_head:
+            self._check_stated_size(exchange)
+
+    def _check_stated_size(self, exchange: Exchange) -> None:
+        """Raise ExchangeAbortedError if the response has stated a size that it cannot have."""
+        with self._reporting_malformed_response(exchange):
+            exchange.response.raise_if_oversized()
+
+    @contextmanager
+    def _reporting_malformed_response(self, exchange: Exchange) -> Iterator[None]:
+        try:
+            yield
         except MalformedHttpResponseError as error:
             if error.limit is not None:
                 self._limit_reached(error.limit, exchange)
--- a/runspool/limits/peer_limits.py
+++ b/runspool/limits/peer_limits.py
@@ -38,6 +38,8 @@
     RESPONSE_HEAD_BYTES = "response_head_bytes"
     # Bytes of a response between parts of its body.
     RESPONSE_FRAMING_BYTES = "response_framing_bytes"
+    # Size that a response states for its body or for a chunk of it.
+    RESPONSE_STATED_BYTES = "response_stated_bytes"
     # Time without an event, or without a part of the text, of a stream that has started.
     STREAM_IDLE_TIME = "stream_idle_time"
     # Bytes of one event of a stream.
--- a/runspool/node/engine_client.py
+++ b/runspool/node/engine_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from functools import partial
 
 import msgspec
@@ -13,6 +14,7 @@
 from runspool.engines.idle_watchdog import WatchedWait
 from runspool.engines.response_parser import ResponseParser
 from runspool.engines.send_permit import SendPermit
+from runspool.engines.stream_wait import StreamWait
 from runspool.limits.answer_progress import AnswerProgress
 from runspool.limits.memory_account import MemoryCharge, MemoryKind
 from runspool.limits.peer_limits import PeerLimit
@@ -50,6 +52,25 @@
     return FailureCause.SERVER_ERROR
 
 
+@dataclass(slots=True)
+class _Stream:
+    """A stream that has started.
+
+    Attributes:
+        exchange: The exchange whose response it is.
+        events: The parser of its events.
+        partial_event: The charge for the bytes of an event that is not complete.
+        watched: The wait as the watchdog sees it.
+        wait: Decides until when the client may be kept waiting.
+    """
+
+    exchange: Exchange
+    events: EventStreamParser
+    partial_event: MemoryCharge
+    watched: WatchedWait
+    wait: StreamWait
+
+
 class EngineClient(HttpExchangeClient):
     """Sends a node's attempts and release calls to engines. It neither selects engines nor retries."""
 
@@ -124,17 +145,20 @@
         exchange = Exchange(permit)
         partial_event = self.resources.memory.charge(MemoryKind.RESPONSE)
         stream_started = False
-        wait: WatchedWait | None = None
+        wait: StreamWait | None = None
         try:
             with self._start_timer(limit) as timer, self._managed_connection(exchange):
                 await self._send_request(exchange, timer, address, partial(_encode_request, request))
-                await self._read_head(exchange, STREAM_STATUS)
+                await self._read_head(exchange, STREAM_STATUS, is_stream=True)
                 first_events = await self._read_first_events(exchange, events, partial_event)
-                with self._watched_stream(timer, exchange) as wait:
+                with self._watched_stream(timer, exchange) as watched:
                     stream_started = True
                     await listener.stream_started()
                     await listener.data_received(first_events)
-                    await self._forward_events(exchange, events, partial_event, wait, listener)
+                    wait = StreamWait(self.idle_timeout, self.now())
+                    wait.record_progress(self.now(), events.done)
+                    stream = _Stream(exchange, events, partial_event, watched, wait)
+                    await self._forward_events(stream, listener)
         except ExchangeAbortedError as error:
             result.record_failure(error.cause, error.detail, stream_started)
         except MalformedEventStreamError as error:
@@ -147,8 +171,10 @@
         result.prompt_tokens = events.prompt_tokens
         result.output_tokens = events.output_tokens
         result.event_count = events.event_count
-        if wait is not None and wait.waiting_since:
-            result.idle_time = self.now() - wait.waiting_since
+        if wait is not None:
+            result.idle_time = self.now() - wait.progress_at
+            result.awaited = wait.awaited
+        result.framing = exchange.framing_state(self.now())
         result.reached_engine = exchange.reached_engine
         return result
 
@@ -206,25 +232,13 @@
         events.raise_fault()
         return data
 
-    async def _forward_events(
-        self,
-        exchange: Exchange,
-        events: EventStreamParser,
-        partial_event: MemoryCharge,
-        wait: WatchedWait,
-        listener: ResponseListener[bytes],
-    ) -> None:
-        """Forward all further events until the end of the response.
-
-        Only an event that brings a part of the answer ends a wait. Other bytes and events may go on for ever.
-        The bytes of an event that is not complete are no progress either: the client learns nothing of them,
-        and the platform counts its wait from the last event.
-        """
-        response = exchange.response
-        wait.waiting_since = self.now()
+    async def _forward_events(self, stream: _Stream, listener: ResponseListener[bytes]) -> None:
+        """Forward all further events until the end of the response."""
+        response, events = stream.exchange.response, stream.events
+        self._set_end_of_wait(stream)
         while not response.complete:
             try:
-                await self._read_more(exchange, FailureCause.STREAM_INTERRUPTED)
+                await self._read_more(stream.exchange, FailureCause.STREAM_INTERRUPTED)
             except ExchangeAbortedError:
                 # Forward the complete events that were received before the connection failed.
                 if data := events.feed(response.take_body()):
@@ -232,13 +246,20 @@
                 raise
             former_progress = events.progress.count
             if data := events.feed(response.take_body()):
-                await self._forward(data, wait, listener)
+                await self._forward(data, stream, listener)
             if events.progress.count > former_progress:
-                wait.waiting_since = self.now()
+                stream.wait.record_progress(self.now(), events.done)
+            self._set_end_of_wait(stream)
             events.raise_fault()
-            self._charge_partial_event(events, partial_event, exchange)
+            self._charge_partial_event(events, stream.partial_event, stream.exchange)
         events.check_complete()
 
+    def _set_end_of_wait(self, stream: _Stream) -> None:
+        """Tell the watchdog until when the stream may keep its client waiting."""
+        exchange = stream.exchange
+        ends_at = stream.wait.ends_at(exchange.response.framing, stream.events.partial_bytes > 0)
+        stream.watched.waiting_since = ends_at - self.idle_timeout
+
     def _charge_partial_event(
         self, events: EventStreamParser, partial_event: MemoryCharge, exchange: Exchange
     ) -> None:
@@ -248,12 +269,12 @@
             self._limit_reached(PeerLimit.MEMORY, exchange)
             raise ExchangeAbortedError(FailureCause.MALFORMED_RESPONSE, "no memory for a large event")
 
-    async def _forward(self, data: bytes, wait: WatchedWait, listener: ResponseListener[bytes]) -> None:
+    async def _forward(self, data: bytes, stream: _Stream, listener: ResponseListener[bytes]) -> None:
         """Forward events; the time until the client takes them is not one of waiting for the engine."""
-        started, waiting_since = self.now(), wait.waiting_since
-        wait.waiting_since = 0
+        started = self.now()
+        stream.watched.waiting_since = 0
         await listener.data_received(data)
-        wait.waiting_since = waiting_since + self.now() - started
+        stream.wait.pause(self.now() - started)
 
 
 def _encode_request(request: ClientRequest, remaining: int) -> tuple[bytes, bytes]:
--- a/runspool/node/executor.py
+++ b/runspool/node/executor.py
@@ -35,6 +35,7 @@
 # Time after a response within which an engine may send a surplus second response on the same connection,
 # according to the platform.
 SURPLUS_RESPONSE_WINDOW_MS = 25
+MAX_BODY_BYTES = 262_144  # maximum size of a body, according to the platform
 MAX_EVENT_BYTES = 65_536  # maximum size of an event of a stream, and of the response to a prefill
 # How long a prefill waits at most for the release of the state that an earlier prefill of its request left.
 RELEASE_WAIT_SECONDS = 0.05
@@ -114,6 +115,7 @@
             max_connections,
             SURPLUS_RESPONSE_WINDOW_MS,
             self.connection_resources,
+            MAX_BODY_BYTES,
         )
         self.state_releaser = StateReleaser(
             self.engine_client,
--- a/runspool/service/attempt_runner.py
+++ b/runspool/service/attempt_runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import asdict
 from typing import Generic
 
 import anyio
@@ -169,11 +170,15 @@
             "output_tokens": result.output_tokens,
             "events": result.event_count,
             "idle_time": result.idle_time,
+            "awaited": result.awaited and result.awaited.value,
+            "framing": result.framing and asdict(result.framing),
             "list_version": list_revision.version,
             "list_age": None
             if list_revision.last_message_at is None
             else sent_at - list_revision.last_message_at,
         }
+        if result.awaited is not None and result.failure_cause is not None:
+            executor.counts[f"stream_ended_awaiting_{result.awaited.value}"] += 1
         executor.log.debug("attempt_finished", **details)
         if result.failure_cause is not None:
             executor.rate_limited_log.info("attempt_ended", **details)
--- /dev/null
+++ b/runspool/wire/body_framing.py
@@ -0,0 +1,113 @@
+"""Follows the framing of an HTTP/1.1 response body: the size that is stated, and what of it is to come.
+
+llhttp, which parses the responses, tells neither. It is the judge of the syntax; this module only reads the
+sizes, and must be given the same bytes. It does no I/O. Source: RFC 9112, sections 6 and 7.1.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+
+# Header fields that say how a body is framed.
+FRAMING_FIELDS = ("content-length", "transfer-encoding")
+CHUNK_TERMINATOR_BYTES = 2  # bytes of the line end after the data of a chunk
+# Bytes kept of a size line that is not complete, without leading zeros; a size has 16 digits at most.
+MAX_KEPT_SIZE_LINE_BYTES = 32
+_HEX_DIGITS = re.compile(rb"[0-9A-Fa-f]*")
+
+
+class BodyFraming:
+    """The framing of one body. A part is a chunk, or the whole of a body with a `Content-Length`.
+
+    A body with neither has no parts: nothing is stated about it.
+
+    Attributes:
+        part_number: The number of parts, empty ones excepted, whose sizes have been stated so far.
+        part_bytes: The stated size of the last of them, in bytes.
+        remaining_bytes: The bytes of it that are still to come; 0 between two parts.
+    """
+
+    __slots__ = (
+        "_has_ended",
+        "_is_chunked",
+        "_size_line",
+        "_terminator_bytes",
+        "part_bytes",
+        "part_number",
+        "remaining_bytes",
+    )
+
+    def __init__(self) -> None:
+        self.part_number = 0
+        self.part_bytes = 0
+        self.remaining_bytes = 0
+        self._is_chunked = False
+        self._has_ended = False
+        self._size_line = b""
+        self._terminator_bytes = 0
+
+    def begin(self, headers: Mapping[str, str]) -> None:
+        """Begin to follow a body.
+
+        Args:
+            headers: The header values of the response by lower-case name, accepted by llhttp.
+        """
+        coding = headers.get("transfer-encoding", "").rpartition(",")[2].strip().lower()
+        self._is_chunked = coding == "chunked"
+        if not self._is_chunked and "transfer-encoding" not in headers:
+            self._begin_part(int(headers.get("content-length", "0")))
+
+    def follow(self, data: bytes, max_part_bytes: int) -> int | None:
+        """Follow the next bytes of the body, up to the first size that exceeds a limit.
+
+        Args:
+            data: The bytes.
+            max_part_bytes: The limit of a part's size, in bytes.
+
+        Returns:
+            The number of bytes up to the end of the size line that states more than the limit; None if no
+            line does.
+        """
+        if not self._is_chunked:
+            self.remaining_bytes = max(0, self.remaining_bytes - len(data))
+            return None
+        at = 0
+        while at < len(data) and not self._has_ended:
+            if self.remaining_bytes:
+                at += self._skip_data(len(data) - at)
+            elif self._terminator_bytes:
+                skipped = min(self._terminator_bytes, len(data) - at)
+                self._terminator_bytes -= skipped
+                at += skipped
+            else:
+                at = self._read_size_line(data, at)
+                if self.remaining_bytes > max_part_bytes:
+                    return at
+        return None
+
+    def _begin_part(self, size: int) -> None:
+        if size:
+            self.part_number += 1
+            self.part_bytes = self.remaining_bytes = size
+
+    def _skip_data(self, available: int) -> int:
+        skipped = min(self.remaining_bytes, available)
+        self.remaining_bytes -= skipped
+        if not self.remaining_bytes:
+            self._terminator_bytes = CHUNK_TERMINATOR_BYTES
+        return skipped
+
+    def _read_size_line(self, data: bytes, start: int) -> int:
+        """Read a size line, or the part of it that has arrived, and return the position behind it."""
+        line_end = data.find(b"\n", start) + 1
+        line = (self._size_line + data[start : line_end or len(data)]).lstrip(b"0")
+        if not line_end:
+            self._size_line = line[:MAX_KEPT_SIZE_LINE_BYTES]
+            return len(data)
+        self._size_line = b""
+        digits = _HEX_DIGITS.match(line)
+        size = int(digits[0], 16) if digits and digits[0] else 0
+        self._begin_part(size)
+        self._has_ended = not size
+        return line_end
--- a/tests/test_stated_sizes.py
+++ b/tests/test_stated_sizes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from pathlib import Path
 
 import pytest
@@ -17,7 +18,9 @@
 TEXT_EVENT = EVENTS[0]
 END = b"".join(EVENTS[1:])  # the events that end a stream
 EVENT_INTERVAL = 0.12  # seconds between two events of an engine
-MAX_SPOILT_TIME = 5.0  # seconds from spoilt bytes to the end of the client's connection, by the platform's page
+MAX_SPOILT_TIME = (
+    5.0  # seconds from spoilt bytes to the end of the client's connection, by the platform's page
+)
 MAX_BODY_BYTES = 262_144  # maximum size of a body, by the platform's page
 
 # Size lines of chunks that cannot be true, and whether the final event comes inside the chunk.
@@ -62,3 +65,29 @@
         assert loop.time() - spoilt_at < MAX_SPOILT_TIME
     assert not response.complete
     assert len(platform.attempts("q1", "decode")) == 1
+
+
+def attempt_ended(platform: Platform) -> dict[str, object]:
+    """Return the logged line on the end of an attempt that failed."""
+    lines = [json.loads(line) for line in platform.log.splitlines() if b'"event":"attempt_ended"' in line]
+    assert len(lines) == 1
+    found: dict[str, object] = lines[0]
+    return found
+
+
+async def test_the_log_says_what_was_awaited_and_what_a_response_had_stated(tmp_path: Path) -> None:
+    async def stops_within_a_chunk(request: ReceivedRequest) -> None:
+        await request.send(STREAM_HEAD + chunked(TEXT_EVENT) + b"c8\r\n" + TEXT_EVENT[:20])
+        await request.wait_until_closed()
+
+    async with Platform(tmp_path, PREFILL_AND_DECODE).open() as platform:
+        platform.engines["w"].scripts = [stops_within_a_chunk]
+        response = await platform.send_request(post("q1"))
+        await platform.wait_for_log_event("attempt_ended")
+        line = attempt_ended(platform)
+    assert not response.complete
+    assert line["awaited"] == "rest_of_event"
+    framing = line["framing"]
+    assert isinstance(framing, dict)
+    assert (framing["part_number"], framing["part_bytes"], framing["remaining_bytes"]) == (2, 200, 180)
+    assert framing["stated_for"] >= 45_000
