A size that a response cannot have ends it when its size line does

Cause: the stated size was believed; each event inside it was progress.

The limits are those of the kind of response: a stream of the node 256 KiB a chunk ("A body holds 256 KiB at most", PROTOCOL.md), other responses and lists what their bodies may have, the front's engines 16 MiB a chunk. A response whose status is no success counts by its status, whatever it states.

--- a/runspool/engines/http_exchange.py
+++ b/runspool/engines/http_exchange.py
@@ -303,6 +303,7 @@
                 a response cannot have.
         """
         response = exchange.response
+        response.max_part_bytes = self.max_stream_part_bytes if is_stream else self.settings.read_answer_bytes
         while not response.head_complete:
             await self._read_more(exchange, FailureCause.CLOSED_BEFORE_RESPONSE)
         if response.status == expected_status:
