The rest of a chunk is waited for a second at most once its stream has ended

Behind the final event the bytes that a chunk still owes bring nothing. Between two chunks nothing untrue was stated, so a late last chunk keeps its 4.95 s.

--- a/runspool/engines/stream_wait.py
+++ b/runspool/engines/stream_wait.py
@@ -1,6 +1,10 @@
 """Decides until when a stream that has started may keep its client waiting. It does no I/O.
 
-The wait begins anew with each part of the answer (see AnswerProgress), and ends after the idle timeout.
+The wait begins anew with each part of the answer (see AnswerProgress). It ends after the idle timeout, with
+one exception:
+
+- After the end of the stream, the bytes of an incomplete chunk bring nothing. They are waited for only
+  briefly, so that the response can still end as a sound one does.
 
 Times are in tenths of a millisecond.
 """
@@ -11,6 +15,10 @@
 
 from runspool.wire.body_framing import BodyFraming
 
+# Time after the end of the stream for the rest of a chunk. By the platform's page, an end that is passed on a
+# second late is lost.
+MAX_TIME_AFTER_END = 10_000
+
 
 class AwaitedPart(Enum):
     """What a stream's client waits for; the value is its name in the log."""
@@ -49,16 +57,23 @@
         """Leave out a time in which the stream's client, not its engine, was waited for."""
         self.progress_at += duration
 
-    def ends_at(self, framing: BodyFraming, has_partial_event: bool) -> int:
+    def ends_at(self, framing: BodyFraming, part_stated_at: int, has_partial_event: bool) -> int:
         """Return the end of the wait, if no further bytes arrive.
 
         Args:
             framing: The framing of the response.
+            part_stated_at: When the size of the last part of the body was read.
             has_partial_event: Whether a part of an event has arrived.
         """
+        idle_end = self.progress_at + self.idle_timeout
         if self._has_ended:
-            is_open = framing.remaining_bytes > 0
-            self.awaited = AwaitedPart.STATED_BYTES if is_open else AwaitedPart.RESPONSE_END
-        else:
-            self.awaited = AwaitedPart.EVENT_REST if has_partial_event else AwaitedPart.EVENT
-        return self.progress_at + self.idle_timeout
+            return min(idle_end, self._end_after_last_event(framing, part_stated_at))
+        self.awaited = AwaitedPart.EVENT_REST if has_partial_event else AwaitedPart.EVENT
+        return idle_end
+
+    def _end_after_last_event(self, framing: BodyFraming, part_stated_at: int) -> int:
+        if not framing.remaining_bytes:
+            self.awaited = AwaitedPart.RESPONSE_END
+            return self.progress_at + self.idle_timeout
+        self.awaited = AwaitedPart.STATED_BYTES
+        return max(self.progress_at, part_stated_at) + MAX_TIME_AFTER_END
--- a/runspool/node/engine_client.py
+++ b/runspool/node/engine_client.py
@@ -257,7 +257,9 @@
     def _set_end_of_wait(self, stream: _Stream) -> None:
         """Tell the watchdog until when the stream may keep its client waiting."""
         exchange = stream.exchange
-        ends_at = stream.wait.ends_at(exchange.response.framing, stream.events.partial_bytes > 0)
+        ends_at = stream.wait.ends_at(
+            exchange.response.framing, exchange.part_stated_at, stream.events.partial_bytes > 0
+        )
         stream.watched.waiting_since = ends_at - self.idle_timeout
 
     def _charge_partial_event(
--- a/tests/test_stated_sizes.py
+++ b/tests/test_stated_sizes.py
@@ -174,6 +174,64 @@
     assert response.body.endswith(END)
 
 
+LEFTOVER = b": nothing more\n\n"  # a comment, which a sound engine may send behind the final event
+
+
+def ends_within_a_chunk(rest_after: float | None, last_chunk_after: float = 0.0) -> Script:
+    """Return a script whose final event comes within a chunk.
+
+    Args:
+        rest_after: The seconds after which the rest of the chunk follows; None if it does not.
+        last_chunk_after: The seconds after that until the last chunk.
+    """
+
+    async def script(request: ReceivedRequest) -> None:
+        count = 30
+        size = len(TEXT_EVENT) * count + len(END + LEFTOVER) + (0 if rest_after is not None else 10_000)
+        await request.send(STREAM_HEAD + b"%x\r\n" % size)
+        for _ in range(count):
+            await request.send(TEXT_EVENT)
+            await asyncio.sleep(EVENT_INTERVAL)
+        await request.send(END + (LEFTOVER[:2] if rest_after is not None else b""))
+        if rest_after is None:
+            await request.wait_until_closed()
+        else:
+            await asyncio.sleep(rest_after)
+            await request.send(LEFTOVER[2:] + b"\r\n")
+            await asyncio.sleep(last_chunk_after)
+            await request.send(LAST_CHUNK)
+
+    return script
+
+
+# The end within a chunk that was never complete began a second wait: the client waited for 4.95 s after it.
+async def test_a_stream_that_has_ended_within_a_chunk_is_not_waited_for_twice(tmp_path: Path) -> None:
+    loop = asyncio.get_running_loop()
+    async with Platform(tmp_path, PREFILL_AND_DECODE).open() as platform:
+        platform.engines["w"].scripts = [ends_within_a_chunk(None)]
+        client = await platform.client()
+        client.send(post("q1"))
+        response = await client.read_head()
+        spoilt_at = loop.time()
+        response = await client.read_body(response)
+        assert loop.time() - spoilt_at < MAX_SPOILT_TIME
+        await platform.wait_for_log_event("attempt_ended")
+        assert attempt_ended(platform)["awaited"] == "stated_bytes_after_end"
+    assert response.body.endswith(END)
+    assert not response.complete
+
+
+@pytest.mark.parametrize(("rest_after", "last_chunk_after"), [(0.0, 0.0), (0.8, 0.0), (0.8, 3.0)])
+async def test_a_stream_whose_last_chunks_come_late_is_forwarded_to_its_end(
+    rest_after: float, last_chunk_after: float, tmp_path: Path
+) -> None:
+    async with Platform(tmp_path, PREFILL_AND_DECODE).open() as platform:
+        platform.engines["w"].scripts = [ends_within_a_chunk(rest_after, last_chunk_after)]
+        response = await platform.send_request(post("q1"))
+    assert response.complete
+    assert response.body.endswith(END + LEFTOVER)
+
+
 def attempt_ended(platform: Platform) -> dict[str, object]:
     """Return the logged line on the end of an attempt that failed."""
     lines = [json.loads(line) for line in platform.log.splitlines() if b'"event":"attempt_ended"' in line]
