An event that comes slowly in one stated chunk is waited for while it is on pace

Cause: bytes of an incomplete event were no progress at all.

Where the event is data and lies in one chunk, its size is stated and bounded. It is waited for as long as its bytes come at least each second, at a pace at which the chunk is complete within 15 s of the last event.

Nothing is stated of an event in several chunks, so it still has 4.95 s; noise, a stop and a pace that is too slow have too.

Red on, green now: one event over 8 and 12 s. Green on both: the five forms that must still end.

--- a/runspool/engines/stream_wait.py
+++ b/runspool/engines/stream_wait.py
@@ -1,8 +1,10 @@
 """Decides until when a stream that has started may keep its client waiting. It does no I/O.
 
 The wait begins anew with each part of the answer (see AnswerProgress). It ends after the idle timeout, with
-one exception:
+two exceptions:
 
+- An event that is written slowly, in one chunk whose size was stated, is waited for as long as its bytes come
+  at a pace at which the chunk will be complete in time.
 - After the end of the stream, the bytes of an incomplete chunk bring nothing. They are waited for only
   briefly, so that the response can still end as a sound one does.
 
@@ -15,6 +17,10 @@
 
 from runspool.wire.body_framing import BodyFraming
 
+# Time from the last part of the answer within which an event in one chunk must be complete.
+MAX_EVENT_TIME = 150_000
+# Longest pause between two pieces of such a chunk once the idle timeout is over.
+MAX_PAUSE_IN_EVENT = 10_000
 # Time after the end of the stream for the rest of a chunk. By the platform's page, an end that is passed on a
 # second late is lost.
 MAX_TIME_AFTER_END = 10_000
@@ -42,33 +48,45 @@
         self.progress_at = now
         self.awaited = AwaitedPart.EVENT
         self._has_ended = False
+        # The part that may hold the next event, its bytes to come when it was first seen, and when that was.
+        self._event_part = 0
+        self._event_bytes = 0
+        self._event_since = 0
 
-    def record_progress(self, now: int, has_ended: bool) -> None:
+    def record_progress(self, now: int, framing: BodyFraming, has_ended: bool) -> None:
         """Record that the stream has brought a part of the answer.
 
         Args:
             now: The present time.
+            framing: The framing of the response.
             has_ended: Whether the stream has said that it has ended.
         """
         self.progress_at = now
         self._has_ended = has_ended
+        self._event_part = framing.part_number + (not framing.remaining_bytes)
+        self._event_bytes = framing.remaining_bytes
+        self._event_since = now
 
     def pause(self, duration: int) -> None:
         """Leave out a time in which the stream's client, not its engine, was waited for."""
         self.progress_at += duration
+        self._event_since += duration
 
-    def ends_at(self, framing: BodyFraming, part_stated_at: int, has_partial_event: bool) -> int:
+    def ends_at(self, now: int, framing: BodyFraming, part_stated_at: int, has_partial_event: bool) -> int:
         """Return the end of the wait, if no further bytes arrive.
 
         Args:
+            now: The present time, at which bytes have just arrived.
             framing: The framing of the response.
             part_stated_at: When the size of the last part of the body was read.
-            has_partial_event: Whether a part of an event has arrived.
+            has_partial_event: Whether the beginning of an event with data has arrived.
         """
         idle_end = self.progress_at + self.idle_timeout
         if self._has_ended:
             return min(idle_end, self._end_after_last_event(framing, part_stated_at))
         self.awaited = AwaitedPart.EVENT_REST if has_partial_event else AwaitedPart.EVENT
+        if has_partial_event and self._is_on_pace(now, framing):
+            return max(idle_end, min(now + MAX_PAUSE_IN_EVENT, self.progress_at + MAX_EVENT_TIME))
         return idle_end
 
     def _end_after_last_event(self, framing: BodyFraming, part_stated_at: int) -> int:
@@ -77,3 +95,13 @@
             return self.progress_at + self.idle_timeout
         self.awaited = AwaitedPart.STATED_BYTES
         return max(self.progress_at, part_stated_at) + MAX_TIME_AFTER_END
+
+    def _is_on_pace(self, now: int, framing: BodyFraming) -> bool:
+        """Return whether the chunk of the next event will be complete in time if it goes on like this."""
+        if framing.part_number != self._event_part or not framing.remaining_bytes:
+            return False
+        if not self._event_bytes:
+            self._event_bytes, self._event_since = framing.part_bytes, now
+        received = self._event_bytes - framing.remaining_bytes
+        allowed = self.progress_at + MAX_EVENT_TIME - self._event_since
+        return received * allowed >= self._event_bytes * (now - self._event_since)
--- a/runspool/node/engine_client.py
+++ b/runspool/node/engine_client.py
@@ -156,7 +156,7 @@
                     await listener.stream_started()
                     await listener.data_received(first_events)
                     wait = StreamWait(self.idle_timeout, self.now())
-                    wait.record_progress(self.now(), events.done)
+                    wait.record_progress(self.now(), exchange.response.framing, events.done)
                     stream = _Stream(exchange, events, partial_event, watched, wait)
                     await self._forward_events(stream, listener)
         except ExchangeAbortedError as error:
@@ -248,7 +248,7 @@
             if data := events.feed(response.take_body()):
                 await self._forward(data, stream, listener)
             if events.progress.count > former_progress:
-                stream.wait.record_progress(self.now(), events.done)
+                stream.wait.record_progress(self.now(), response.framing, events.done)
             self._set_end_of_wait(stream)
             events.raise_fault()
             self._charge_partial_event(events, stream.partial_event, stream.exchange)
@@ -258,7 +258,7 @@
         """Tell the watchdog until when the stream may keep its client waiting."""
         exchange = stream.exchange
         ends_at = stream.wait.ends_at(
-            exchange.response.framing, exchange.part_stated_at, stream.events.partial_bytes > 0
+            self.now(), exchange.response.framing, exchange.part_stated_at, stream.events.has_partial_data
         )
         stream.watched.waiting_since = ends_at - self.idle_timeout
 
--- a/runspool/node/event_stream.py
+++ b/runspool/node/event_stream.py
@@ -17,6 +17,7 @@
 
 # The end of an event: the end of a line, followed by an empty line. A line ends with \n, \r\n or \r.
 EVENT_END = re.compile(rb"\n\r?\n|\r\r\n?")
+DATA_FIELD = b"data:"  # first bytes of a line with data
 # First bytes of the lines that the parser ignores: comments, and the fields other than "data".
 IGNORED_FIELDS = (b":", b"event:", b"id:", b"retry:")
 ROLE_FIELD = "role"  # the field of a delta that is no part of the answer
@@ -147,6 +148,11 @@
         """The number of bytes held of an event that is not complete."""
         return len(self._partial_event)
 
+    @property
+    def has_partial_data(self) -> bool:
+        """Whether the bytes held of an incomplete event are the beginning of one with data."""
+        return self._partial_event.startswith(DATA_FIELD)
+
     def check_complete(self) -> None:
         """Check that the stream is complete, after the end of the response.
 
@@ -158,8 +164,8 @@
 
     def _parse_event(self, event: bytes) -> None:
         for line in event.splitlines():
-            if line.startswith(b"data:"):
-                self._parse_data(line[5:].strip())
+            if line.startswith(DATA_FIELD):
+                self._parse_data(line[len(DATA_FIELD) :].strip())
             elif line and not line.startswith(IGNORED_FIELDS):
                 raise MalformedEventStreamError(f"not a line of an event: {line[:40]!r}")
 
--- a/tests/test_stated_sizes.py
+++ b/tests/test_stated_sizes.py
@@ -232,6 +232,92 @@
     assert response.body.endswith(END + LEFTOVER)
 
 
+LARGE_EVENT = TEXT_EVENT.replace(b"oq", b"o" * 40_000)
+
+
+def writes_event(
+    duration: float,
+    written_share: float = 1.0,
+    chunk_bytes: int = MAX_BODY_BYTES,
+    event: bytes = LARGE_EVENT,
+) -> Script:
+    """Return a script that writes one large event evenly.
+
+    Args:
+        duration: The seconds that the whole event would take.
+        written_share: The share of the event that is written before the engine stops.
+        chunk_bytes: The largest size of a chunk; the event is one chunk if it fits.
+        event: The event.
+    """
+
+    async def script(request: ReceivedRequest) -> None:
+        await request.send(STREAM_HEAD + chunked(TEXT_EVENT))
+        chunks = (chunked(event[start : start + chunk_bytes]) for start in range(0, len(event), chunk_bytes))
+        data = b"".join(chunks)
+        piece_count = int(duration / EVENT_INTERVAL)
+        piece_bytes = len(data) // piece_count + 1
+        closed = asyncio.ensure_future(request.wait_until_closed())
+        for start in range(0, int(len(data) * written_share), piece_bytes):
+            if not closed.done():
+                await request.send(data[start : start + piece_bytes])
+                await asyncio.wait([closed], timeout=EVENT_INTERVAL)
+        if written_share < 1.0 or closed.done():
+            await closed
+            return
+        closed.cancel()
+        await asyncio.gather(closed, return_exceptions=True)
+        await request.send(chunked(END) + LAST_CHUNK)
+
+    return script
+
+
+# Streams were cut 4.95 s after an event while the bytes of the next one still came.
+@pytest.mark.parametrize("duration", [4.0, 8.0, 12.0])
+async def test_a_large_event_that_is_written_slowly_in_one_chunk_is_forwarded(
+    duration: float, tmp_path: Path
+) -> None:
+    async with Platform(tmp_path, PREFILL_AND_DECODE).open() as platform:
+        platform.engines["w"].scripts = [writes_event(duration)]
+        response = await platform.send_request(post("q1"))
+    assert response.complete
+    assert response.body == TEXT_EVENT + LARGE_EVENT + END
+
+
+# How an event is written that will not be complete in time, and the seconds after which its stream ends: the
+# page's 5 s, or a second after the engine has stopped where it was on pace until then.
+HOPELESS_EVENTS = {
+    "too slowly": (writes_event(60.0), 5.05),
+    "in chunks that state nothing of it": (writes_event(8.0, chunk_bytes=100), 5.05),
+    "noise in one chunk": (writes_event(8.0, event=b"x" * 40_000), 5.05),
+    "stops early": (writes_event(8.0, written_share=0.3), 5.05),
+    "stops late": (writes_event(8.0, written_share=0.75), 6.0 + 1.2),
+}
+
+
+async def test_an_event_that_cannot_be_complete_in_time_ends_its_stream(tmp_path: Path) -> None:
+    async def seconds_until_end(platform: Platform, name: str) -> float:
+        loop, client = asyncio.get_running_loop(), await platform.client()
+        client.send(post(name, req_key="one"))
+        response = await client.read_head()
+        started = loop.time()
+        assert not (await client.read_body(response)).complete
+        return loop.time() - started
+
+    async with Platform(tmp_path, PREFILL_AND_DECODE).open() as platform:
+        waits = []
+        for name, (script, _) in HOPELESS_EVENTS.items():
+            platform.engines["w"].scripts = [script]
+            waits.append(asyncio.ensure_future(seconds_until_end(platform, name.replace(" ", "-"))))
+            await platform.wait_until(lambda: not platform.engines["w"].scripts)
+        ended = await asyncio.gather(*waits)
+    late = [
+        (name, seconds)
+        for (name, (_, limit)), seconds in zip(HOPELESS_EVENTS.items(), ended, strict=True)
+        if seconds > limit
+    ]
+    assert not late
+
+
 def attempt_ended(platform: Platform) -> dict[str, object]:
     """Return the logged line on the end of an attempt that failed."""
     lines = [json.loads(line) for line in platform.log.splitlines() if b'"event":"attempt_ended"' in line]
