An answer with more texts than its request asked for goes on up to the size of a body

So texts count beyond that number as long as the events fit a body. An engine that never ends still ends, 4.95 s after both are exceeded. The price: one that never ends keeps its client for 256 KiB of events where it was 4 texts a token.

--- a/runspool/limits/answer_progress.py
+++ b/runspool/limits/answer_progress.py
@@ -4,7 +4,8 @@
 for a limited time. Bytes and events that bring nothing therefore end no wait; otherwise a broken engine could
 keep a client waiting for ever. An event brings something if it has
 
-- a text, while its choice has no finish reason, up to a multiple of the tokens that the request asked for
+- a text, while its choice has no finish reason, up to a multiple of the tokens that the request asked for, or
+  to the largest size of a body, whichever is more
 - the first finish reason of a choice
 - the first usage
 - the first end of the stream
@@ -40,23 +41,31 @@
     """The progress of one answer.
 
     Attributes:
-        max_texts: The maximum number of texts of all choices; 0 if the request does not limit the answer.
+        max_texts: The number of texts of all choices that may exceed the size of a body; 0 if the request
+            does not limit the answer.
         count: The number of events so far that have brought a part of the answer.
     """
 
-    def __init__(self, max_output_tokens: int, choice_count: int = 1) -> None:
+    def __init__(self, max_output_tokens: int, choice_count: int = 1, max_body_bytes: int = 0) -> None:
         """Create the progress of an answer that has brought nothing yet.
 
         Args:
             max_output_tokens: The number of tokens that the request asked for; 0 if it set no limit.
             choice_count: The number of choices that the request asked for, each of that many tokens.
+            max_body_bytes: The size of the events up to which an answer may have any number of texts; 0 for none.
         """
+        self._max_body_bytes = max_body_bytes
+        self._body_bytes = 0
         self.max_texts = max_output_tokens * choice_count * MAX_TEXTS_PER_TOKEN
         self.count = 0
         self._text_count = 0
         self._finished_choices: set[int] = set()
         self._has_usage = False
 
+    def record_size(self, size: int) -> None:
+        """Record the size of an event of the answer, in bytes, before the event itself."""
+        self._body_bytes += size
+
     def record_event(self, choices: list[ChoicePart], has_usage: bool) -> None:
         """Record an event of the answer.
 
@@ -79,7 +88,11 @@
         if not choice.has_text or choice.number in self._finished_choices:
             return False
         self._text_count += 1
-        return not self.max_texts or self._text_count <= self.max_texts
+        return (
+            not self.max_texts
+            or self._text_count <= self.max_texts
+            or 0 < self._body_bytes <= self._max_body_bytes
+        )
 
     def _takes_finish(self, choice: ChoicePart) -> bool:
         if (
--- a/runspool/node/engine_client.py
+++ b/runspool/node/engine_client.py
@@ -140,7 +140,7 @@
             A result with the status SUCCEEDED, or one that describes the failure.
         """
         result = AttemptResult(AttemptStatus.SUCCEEDED)
-        progress = AnswerProgress(request.max_output_tokens, request.choice_count)
+        progress = AnswerProgress(request.max_output_tokens, request.choice_count, self.max_stream_part_bytes)
         events = EventStreamParser(self.settings.line_bytes, progress)
         exchange = Exchange(permit)
         partial_event = self.resources.memory.charge(MemoryKind.RESPONSE)
--- a/runspool/node/event_stream.py
+++ b/runspool/node/event_stream.py
@@ -163,6 +163,7 @@
             raise MalformedEventStreamError("the stream ends without its final event")
 
     def _parse_event(self, event: bytes) -> None:
+        self.progress.record_size(len(event))
         for line in event.splitlines():
             if line.startswith(DATA_FIELD):
                 self._parse_data(line[len(DATA_FIELD) :].strip())
--- a/tests/test_answer_progress.py
+++ b/tests/test_answer_progress.py
@@ -67,6 +67,16 @@
             assert progress.count == former + 1
 
 
+# A stream of 400 texts to a request of 60 tokens was cut off after 240 while its engine went on.
+def test_texts_beyond_the_request_count_up_to_the_size_of_a_body_and_none_beyond_it() -> None:
+    max_tokens, body_bytes, event_bytes = 2, 1_000, 10
+    progress = AnswerProgress(max_tokens, max_body_bytes=body_bytes)
+    for _ in range(300):
+        progress.record_size(event_bytes)
+        progress.record_event([TEXT], has_usage=False)
+    assert progress.count == body_bytes // event_bytes
+
+
 parts = st.sampled_from([TEXT, FINISH, NOTHING, ChoicePart(1, has_text=True, is_finished=False)])
 
 
