--- a/runspool/limits/answer_progress.py
+++ b/runspool/limits/answer_progress.py
@@ -52,7 +52,8 @@
         Args:
             max_output_tokens: The number of tokens that the request asked for; 0 if it set no limit.
             choice_count: The number of choices that the request asked for, each of that many tokens.
-            max_body_bytes: The size of the events up to which an answer may have any number of texts; 0 for none.
+            max_body_bytes: The size of all events, in bytes, up to which the number of texts is not limited;
+                0 for none.
         """
         self._max_body_bytes = max_body_bytes
         self._body_bytes = 0
--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -1,6 +1,7 @@
 """The answers of the engines in a soak; each depends only on the id of its request and on the conditions.
 
-Some answers say the same again and again, and are whole. Others stop to bring anything new, but never end.
+Some answers say the same again and again, and are whole. Others stop to bring anything new, but never end, or
+go on inside a chunk whose stated size cannot be true.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 SAME_TEXT_SHARE = 0.3  # share of the answers whose texts are all the same
 RUNS_SHARE = 0.3  # share of the answers whose texts are the same RUN_LENGTH times on end
 RUN_LENGTH = 5
+UNTRUE_SIZE_LINE = b"b2d05e00\r\n"  # of a chunk of 3 GB
 SMALL_LIMIT = 2  # tokens that are asked for where an engine goes on beyond its request and a body
 MAX_BODY_BYTES = 262_144  # maximum size of a body, by the platform's page
 LARGE_TEXT_BYTES = 15_000  # of the texts with which such an engine goes on
@@ -32,6 +34,7 @@
     NO_CHOICES = "no_choices"
     USAGE = "usage"
     END = "end"
+    UNTRUE_CHUNK = "untrue_chunk"  # texts inside a chunk whose stated size cannot be true
     SAME_TEXT = "same_text"  # beyond what its request and the size of a body allow
 
 
@@ -53,12 +56,14 @@
         interval: The time between two of them at a healthy engine, in seconds.
         repeated: The event that follows them without end; empty if the answer ends with them.
         max_tokens: The number of tokens that the request asks for.
+        size_line: Where the repeated events lie inside one chunk, the line that states its size.
     """
 
     events: list[bytes]
     interval: float
     repeated: bytes
     max_tokens: int
+    size_line: bytes = b""
 
 
 def answer_to(request: str, duration: float, form: EndlessForm | None) -> Answer:
@@ -71,18 +76,21 @@
     """
     count = max(MIN_TEXTS + len(request) % 3, int(duration / EVENT_INTERVAL))
     texts = _texts(request, count)
-    max_tokens, repeated = TOKENS_PER_TEXT * count, b""
+    max_tokens, repeated, size_line = TOKENS_PER_TEXT * count, b"", b""
     if form is None:
         events = [*texts, END_EVENT]
     elif form is EndlessForm.SAME_TEXT:
         max_tokens, repeated = SMALL_LIMIT, TEXT_EVENT.replace(b"oq", b"o" * LARGE_TEXT_BYTES)
         events = [repeated] * max(max_tokens * MAX_TEXTS_PER_TOKEN, MAX_BODY_BYTES // len(repeated))
+    elif form is EndlessForm.UNTRUE_CHUNK:
+        repeated, size_line = texts[-1], UNTRUE_SIZE_LINE
+        events = texts[: count // 2]
     else:
         repeated, brings_a_part = REPEATED_EVENTS[form]
         events = texts[: count // 2]
         if brings_a_part:
             events.append(repeated)
-    return Answer(events, min(EVENT_INTERVAL, duration / len(events)), repeated, max_tokens)
+    return Answer(events, min(EVENT_INTERVAL, duration / len(events)), repeated, max_tokens, size_line)
 
 
 def _texts(request: str, count: int) -> list[bytes]:
--- a/tests/soak/environment.py
+++ b/tests/soak/environment.py
@@ -25,7 +25,7 @@
     read_request,
 )
 from tests.node_platform.ports import free_port
-from tests.soak.answers import EVENT_INTERVAL
+from tests.soak.answers import EVENT_INTERVAL, Answer
 from tests.soak.conditions import Conditions
 
 Event = dict[str, Any]
@@ -45,8 +45,9 @@
     - of the proxies between nodes and engines: `sent` (the node began to send a request), `sent_whole`,
       `node_got` (first bytes of the response) and `node_closed` (connection closed before a response);
     - of engines: `arrived`, `ran`, `declined` (state missing), `fruitless` (the stream has just brought its
-      last part, and goes on without end), `over` (the attempt ended), `held` and `taken` (a state is held, or
-      not any more) and `released` (a release call arrived);
+      last part, and goes on without end), `spoilt` (it goes on with what is no sound response), `over` (the
+      attempt ended), `held` and `taken` (a state is held, or not any more) and `released` (a release call
+      arrived);
     - of agents: `agent_call`, `told` (answer written), `agent_pace`, `agent_down`, `agent_up`, `agent_reset`
       and `agent_moved`;
     - of node processes: `started`, `ready`, `not_started`, `told_to_end` (signal sent), `killed_late`,
@@ -209,17 +210,23 @@
             await self.running.wait()
             writer.write(chunked(event))
             if answer.repeated and number == len(answer.events):
-                self.environment.record("fruitless", engine=self.name, request=name)
+                what = "spoilt" if answer.size_line else "fruitless"
+                self.environment.record(what, engine=self.name, request=name)
             await asyncio.sleep(answer.interval * self.slowdown)
         if answer.repeated:
-            await self._repeat_event(answer.repeated, writer)
+            await self._repeat_event(answer, writer)
         writer.write(LAST_CHUNK)
 
-    async def _repeat_event(self, event: bytes, writer: asyncio.StreamWriter) -> None:
-        """Send the same event again and again, until the node closes the connection."""
+    async def _repeat_event(self, answer: Answer, writer: asyncio.StreamWriter) -> None:
+        """Send the same event again and again, until the node closes the connection.
+
+        The events lie inside one chunk if the answer states its size, otherwise in a chunk each.
+        """
+        event = answer.repeated if answer.size_line else chunked(answer.repeated)
+        writer.write(answer.size_line)
         while not writer.transport.is_closing():
             await self.running.wait()
-            writer.write(chunked(event))
+            writer.write(event)
             await asyncio.sleep(EVENT_INTERVAL)
 
 
--- a/tests/soak/rules.py
+++ b/tests/soak/rules.py
@@ -248,7 +248,9 @@
             self.add_violation("lost", "the stream was cut, although the engine still sent its events")
 
     def _has_brought_nothing(self, engine: str, until: float) -> bool:
-        """Return whether an engine's stream has only gone on without a part of the answer for long enough."""
+        """Return whether an engine's stream is spoilt, or has brought nothing for long enough."""
+        if any(event["engine"] == engine for event in self.all("spoilt")):
+            return True
         return any(
             event["engine"] == engine and until - event["t"] >= SHORTEST_SILENCE
             for event in self.all("fruitless")
--- a/tests/soak/sabotage.py
+++ b/tests/soak/sabotage.py
@@ -36,6 +36,7 @@
 from runspool.service.pending_request import ResponseKind
 from runspool.service.request_executor import RequestExecutor
 from runspool.transport.tcp import TcpConnection
+from runspool.wire.body_framing import BodyFraming
 
 
 def drop_rejections() -> None:
@@ -199,6 +200,16 @@
     EventStreamParser._parse_data = parse_unless_repeated  # type: ignore[method-assign]
 
 
+def believe_stated_sizes() -> None:
+    """Take every size that a chunk states for true."""
+    original = BodyFraming.follow
+
+    def follow_without_limit(self: BodyFraming, data: bytes, max_part_bytes: int) -> int | None:
+        return original(self, data, sys.maxsize)
+
+    BodyFraming.follow = follow_without_limit  # type: ignore[method-assign]
+
+
 def read_nothing_at_start() -> None:
     """Accept connections only after the wait for the first endpoint list."""
     original = accept_loop.accept_connections
@@ -239,6 +250,7 @@
     "alive": exit_unexpectedly,
     "lost.waits": count_every_event,
     "lost.repeats": ignore_repeated_events,
+    "lost.believes": believe_stated_sizes,
     "lost.starts": read_nothing_at_start,
     "twice.forgets": forget_ids,
     "memory": hold_without_limit,
--- a/tests/soak/sabotage_conditions.py
+++ b/tests/soak/sabotage_conditions.py
@@ -71,6 +71,9 @@
     "lost.waits": lambda nodes: RuleConditions(
         [], soak=Conditions(longest_deadline=0.5, longest_stream=1.0, long_share=1.0, fruitless_share=0.3)
     ),
+    "lost.believes": lambda nodes: RuleConditions(
+        [], soak=Conditions(longest_deadline=0.5, longest_stream=1.0, long_share=1.0, fruitless_share=0.3)
+    ),
     "lost.repeats": lambda nodes: RuleConditions(
         [_fault("slow", DECODE, nodes)],
         soak=Conditions(longest_deadline=0.5, resumable=False, longest_stream=10.0, long_share=1.0),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,7 @@
     "drain.asks_rarely",
     "calls.owed",
     "lost.waits",
+    "lost.believes",
     "lost.repeats",
     "lost.starts",
     "twice.forgets",
