A stated size is followed in fewer steps, and one of thousands of digits can be logged

The follower took three steps a chunk; it takes one now.

llhttp refuses a size of over 16 digits, but the follower had stored it by then: an integer that can be written neither to the log nor, beyond 4,300 decimal digits, to a text. It is bounded now. No caller saw this.

--- a/runspool/wire/body_framing.py
+++ b/runspool/wire/body_framing.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+import sys
 from collections.abc import Mapping
 
 # Header fields that say how a body is framed.
@@ -32,7 +33,7 @@
         "_has_ended",
         "_is_chunked",
         "_size_line",
-        "_terminator_bytes",
+        "_unread_bytes",
         "part_bytes",
         "part_number",
         "remaining_bytes",
@@ -45,7 +46,7 @@
         self._is_chunked = False
         self._has_ended = False
         self._size_line = b""
-        self._terminator_bytes = 0
+        self._unread_bytes = 0  # bytes to come of a chunk, with the line end after it
 
     def begin(self, headers: Mapping[str, str]) -> None:
         """Begin to follow a body.
@@ -56,7 +57,7 @@
         coding = headers.get("transfer-encoding", "").rpartition(",")[2].strip().lower()
         self._is_chunked = coding == "chunked"
         if not self._is_chunked and "transfer-encoding" not in headers:
-            self._begin_part(int(headers.get("content-length", "0")))
+            self._begin_part(min(int(headers.get("content-length", "0")), sys.maxsize))
 
     def follow(self, data: bytes, max_part_bytes: int) -> int | None:
         """Follow the next bytes of the body, up to the first size that exceeds a limit.
@@ -73,41 +74,43 @@
             self.remaining_bytes = max(0, self.remaining_bytes - len(data))
             return None
         at = 0
-        while at < len(data) and not self._has_ended:
-            if self.remaining_bytes:
-                at += self._skip_data(len(data) - at)
-            elif self._terminator_bytes:
-                skipped = min(self._terminator_bytes, len(data) - at)
-                self._terminator_bytes -= skipped
-                at += skipped
-            else:
+        size = len(data)
+        while at < size and not self._has_ended:
+            if not self._unread_bytes:
                 at = self._read_size_line(data, at)
                 if self.remaining_bytes > max_part_bytes:
                     return at
+            skipped = min(self._unread_bytes, size - at)
+            self._unread_bytes -= skipped
+            at += skipped
+            self.remaining_bytes = max(0, self._unread_bytes - CHUNK_TERMINATOR_BYTES)
         return None
 
     def _begin_part(self, size: int) -> None:
         if size:
             self.part_number += 1
             self.part_bytes = self.remaining_bytes = size
-
-    def _skip_data(self, available: int) -> int:
-        skipped = min(self.remaining_bytes, available)
-        self.remaining_bytes -= skipped
-        if not self.remaining_bytes:
-            self._terminator_bytes = CHUNK_TERMINATOR_BYTES
-        return skipped
+            self._unread_bytes = size + CHUNK_TERMINATOR_BYTES
 
     def _read_size_line(self, data: bytes, start: int) -> int:
         """Read a size line, or the part of it that has arrived, and return the position behind it."""
         line_end = data.find(b"\n", start) + 1
-        line = (self._size_line + data[start : line_end or len(data)]).lstrip(b"0")
+        line = self._size_line + data[start : line_end or len(data)]
         if not line_end:
-            self._size_line = line[:MAX_KEPT_SIZE_LINE_BYTES]
+            self._size_line = line.lstrip(b"0")[:MAX_KEPT_SIZE_LINE_BYTES] or line[:1]
             return len(data)
         self._size_line = b""
-        digits = _HEX_DIGITS.match(line)
-        size = int(digits[0], 16) if digits and digits[0] else 0
+        size = _parse_size(line)
         self._begin_part(size)
         self._has_ended = not size
         return line_end
+
+
+def _parse_size(line: bytes) -> int:
+    """Return the size that a size line states, in bytes; any size if llhttp will refuse the line."""
+    try:
+        size = int(line, 16)
+    except ValueError:  # the line has an extension
+        digits = _HEX_DIGITS.match(line)
+        size = int(digits[0], 16) if digits and digits[0] else 0
+    return max(0, min(size, sys.maxsize))
--- a/tests/test_body_framing.py
+++ b/tests/test_body_framing.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import sys
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -123,3 +125,16 @@
     parser.feed(b"HTTP/1.1 204 No Content\r\nContent-Length: 3000000000\r\n\r\n")
     assert parser.complete
     assert not parser.oversized
+
+
+# A size of thousands of digits was stored as it is, and could be written neither to the log nor to an error.
+@pytest.mark.parametrize("size_line", [b"f" * 20, b"f" * 6_000, b"-5", b"0x50", b"5_0", b"", b";n=1", b" 5"])
+def test_a_size_that_is_none_is_refused_and_can_be_logged(size_line: bytes) -> None:
+    parser = ResponseParser(HEAD_BYTES)
+    parser.max_part_bytes = PART_LIMIT
+    parser.feed(CHUNKED_HEAD + b"5\r\nhello\r\n")
+    with pytest.raises(MalformedHttpResponseError) as refused:
+        parser.feed(size_line + b"\r\nhello")
+    assert str(refused.value)
+    assert 0 <= parser.framing.part_bytes <= sys.maxsize
+    assert 0 <= parser.framing.remaining_bytes <= sys.maxsize
