A stream of the front's engines is not held to the size of other bodies

Since the front's client for completions read a stream under the limit of other bodies, so that a chunk of over `read_answer_bytes` with many events was refused, which is whole on.

--- a/runspool/engines/completions_client.py
+++ b/runspool/engines/completions_client.py
@@ -144,7 +144,7 @@
             with self._start_timer(first_token_limit) as timer, self._managed_connection(exchange):
                 request = _encode_post(address, headers, wire.decode_body(parameters, state))
                 await self._send_request(exchange, timer, address, lambda remaining: request)
-                head = await self._read_head(exchange)
+                head = await self._read_head(exchange, is_stream=True)
                 result.load_report = wire.parse_load_report(head.headers.get(wire.LOAD_REPORT_HEADER))
                 text = await stream.read_first(exchange)
                 with self._watched_stream(timer, exchange) as wait:
--- a/tests/test_failure_classification.py
+++ b/tests/test_failure_classification.py
@@ -370,3 +370,55 @@
 
     result = await attempt_at(serve)
     assert result.failure_cause is FailureCause.STREAM_INTERRUPTED
+
+
+def streams(*chunks: bytes, ends: bool = True) -> Callable[[anyio.abc.SocketStream], Awaitable[None]]:
+    """Return a server that answers with a stream of these chunks, as they are sent."""
+
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            await stream.receive()
+            await stream.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for chunk in chunks:
+                await stream.send(chunk)
+                await anyio.sleep(0.1)
+            if ends:
+                await stream.send(b"0\r\n\r\n")
+            with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                await stream.receive()
+
+    return serve
+
+
+TEXT = b'data: {"choices":[{"text":"a"}]}\n\n'
+END = b'data: {"choices":[{"text":"b","finish_reason":"stop"}]}\n\ndata: [DONE]\n\n'
+
+
+# The limit of other bodies must not be that of a stream's chunk, which packs any number of events.
+@pytest.mark.anyio
+async def test_a_chunk_of_a_stream_may_be_larger_than_another_body() -> None:
+    texts = TEXT.replace(b'"a"', b'"%b"' % (b"a" * 15_000)) * 8
+    assert len(texts) > CLIENT_CONFIG.read_answer_bytes
+    result = await attempt_at(streams(b"%x\r\n%b\r\n" % (len(texts + END), texts + END)))
+    assert (result.status, result.output_tokens) == (AttemptStatus.SUCCEEDED, 9)
+
+
+# c6e7e6: a size that cannot be true was believed for as long as events came inside its chunk.
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    ("chunks", "cause"),
+    [
+        ([b"b2d05e00\r\n" + TEXT, *[TEXT] * 15], FailureCause.MALFORMED_RESPONSE),
+        (
+            [b"%x\r\n%b\r\n" % (len(TEXT), TEXT), b"b2d05e00\r\n", *[TEXT] * 15],
+            FailureCause.STREAM_INTERRUPTED,
+        ),
+    ],
+)
+async def test_a_stream_with_a_size_that_cannot_be_true_has_failed(
+    chunks: list[bytes], cause: FailureCause
+) -> None:
+    result = await attempt_at(streams(*chunks, ends=False), limit=3 * ONE_SECOND)
+    assert result.failure_cause is cause
+    assert "stated" in result.detail
+    assert result.output_tokens <= 1
