A flood that brings nothing does not prolong a client's wait, nor does noise as data

The time until the client had taken such events was left out of its wait. Where events bring a part of the answer nothing changes, as the wait begins anew behind them.

Only the beginning of a JSON object is waited for now; a form of the test is added.

--- a/runspool/engines/stream_wait.py
+++ b/runspool/engines/stream_wait.py
@@ -67,11 +67,6 @@
         self._event_bytes = framing.remaining_bytes
         self._event_since = now
 
-    def pause(self, duration: int) -> None:
-        """Leave out a time in which the stream's client, not its engine, was waited for."""
-        self.progress_at += duration
-        self._event_since += duration
-
     def ends_at(self, now: int, framing: BodyFraming, part_stated_at: int, has_partial_event: bool) -> int:
         """Return the end of the wait, if no further bytes arrive.
 
--- a/runspool/node/engine_client.py
+++ b/runspool/node/engine_client.py
@@ -272,11 +272,13 @@
             raise ExchangeAbortedError(FailureCause.MALFORMED_RESPONSE, "no memory for a large event")
 
     async def _forward(self, data: bytes, stream: _Stream, listener: ResponseListener[bytes]) -> None:
-        """Forward events; the time until the client takes them is not one of waiting for the engine."""
-        started = self.now()
+        """Forward events. Until the client takes them, the engine is not waited for.
+
+        If they bring no part of the answer, the time counts all the same: an engine that sends such events
+        without end, faster than the client takes them, must not prolong the client's wait.
+        """
         stream.watched.waiting_since = 0
         await listener.data_received(data)
-        stream.wait.pause(self.now() - started)
 
 
 def _encode_request(request: ClientRequest, remaining: int) -> tuple[bytes, bytes]:
--- a/runspool/node/event_stream.py
+++ b/runspool/node/event_stream.py
@@ -18,6 +18,7 @@
 # The end of an event: the end of a line, followed by an empty line. A line ends with \n, \r\n or \r.
 EVENT_END = re.compile(rb"\n\r?\n|\r\r\n?")
 DATA_FIELD = b"data:"  # first bytes of a line with data
+DATA_BEGINNING = re.compile(rb"data: ?\{")
 # First bytes of the lines that the parser ignores: comments, and the fields other than "data".
 IGNORED_FIELDS = (b":", b"event:", b"id:", b"retry:")
 ROLE_FIELD = "role"  # the field of a delta that is no part of the answer
@@ -150,8 +151,8 @@
 
     @property
     def has_partial_data(self) -> bool:
-        """Whether the bytes held of an incomplete event are the beginning of one with data."""
-        return self._partial_event.startswith(DATA_FIELD)
+        """Whether the bytes held of an incomplete event are the beginning of one with a JSON object."""
+        return DATA_BEGINNING.match(self._partial_event) is not None
 
     def check_complete(self) -> None:
         """Check that the stream is complete, after the end of the response.
--- a/tests/test_engine_streams.py
+++ b/tests/test_engine_streams.py
@@ -111,6 +111,7 @@
     "trailer section": (b"0\r\nA: ", b"x" * 40, 0.1),
 }
 MAX_BODY_BYTES = 262_144  # maximum size of a body, by the platform's page
+FLOOD_EVENTS = 1_000  # events that an engine sends at once without end
 MAX_WAIT_AFTER_EVENT = 5.05  # seconds for which a client may wait after an event, by the platform's page
 
 
@@ -201,6 +202,28 @@
     assert all(ended), ended
 
 
+# The time in which a client took what brings nothing was left out of its wait: a flood prolonged it.
+@pytest.mark.parametrize("flood", [b'data: {"choices":[]}\n\n', b": x\n\n"])
+async def test_a_flood_that_brings_nothing_ends_within_5_s(flood: bytes, tmp_path: Path) -> None:
+    async def floods(request: ReceivedRequest) -> None:
+        await request.send(OPENING)
+        closed = asyncio.ensure_future(request.wait_until_closed())
+        while not closed.done():
+            request.writer.write(chunked(flood) * FLOOD_EVENTS)
+            await asyncio.wait([closed, asyncio.ensure_future(request.writer.drain())], timeout=0.1)
+
+    loop = asyncio.get_running_loop()
+    async with Platform(tmp_path, PREFILL_AND_DECODE).open() as platform:
+        platform.engines["w"].scripts = [floods]
+        client = await platform.client()
+        client.send(post("q1", req_extra="prompt_len=40,max_out=800"))
+        response = await client.read_head()
+        await client.read_chunk()
+        started = loop.time()
+        assert not (await client.read_body(response)).complete
+        assert loop.time() - started <= MAX_WAIT_AFTER_EVENT
+
+
 # An engine that never ends: beyond four texts for each token of the request and the largest size of a body.
 async def test_a_stream_that_goes_on_beyond_its_request_and_a_body_ends_within_5_s_of_that(
     tmp_path: Path,
--- a/tests/test_stated_sizes.py
+++ b/tests/test_stated_sizes.py
@@ -289,6 +289,7 @@
     "too slowly": (writes_event(60.0), 5.05),
     "in chunks that state nothing of it": (writes_event(8.0, chunk_bytes=100), 5.05),
     "noise in one chunk": (writes_event(8.0, event=b"x" * 40_000), 5.05),
+    "noise as data in one chunk": (writes_event(8.0, event=b"data: " + b"x" * 40_000), 5.05),
     "stops early": (writes_event(8.0, written_share=0.3), 5.05),
     "stops late": (writes_event(8.0, written_share=0.75), 6.0 + 1.2),
 }
--- a/tests/test_stream_wait.py
+++ b/tests/test_stream_wait.py
@@ -34,13 +34,6 @@
     assert wait.awaited is AwaitedPart.EVENT
 
 
-def test_a_time_of_waiting_for_the_client_is_left_out() -> None:
-    framing = chunked_framing(b"5\r\nhello\r\n")
-    wait = wait_after_event(framing)
-    wait.pause(7_000)
-    assert wait.ends_at(START + 40_000, framing, START, False) == START + 7_000 + IDLE_TIMEOUT
-
-
 def test_the_rest_of_a_chunk_after_the_end_is_waited_for_briefly() -> None:
     framing = chunked_framing(b"5\r\nhel")
     wait = wait_after_event(framing, has_ended=True)
