A read of an engine's response costs no context managers

The checks of the stated size entered two generator-based context managers for each read. They are plain statements now; what is raised and counted is as before.

--- a/runspool/engines/http_exchange.py
+++ b/runspool/engines/http_exchange.py
@@ -86,12 +86,6 @@
         """The parser of the response."""
         return self.connection.response
 
-    def record_framing(self, now: int) -> None:
-        """Record when a stated size was read, after bytes have been; `now` is in tenths of a millisecond."""
-        if self.response.framing.part_number != self.part_number:
-            self.part_number = self.response.framing.part_number
-            self.part_stated_at = now
-
     def framing_state(self, now: int) -> FramingState | None:
         """Return what the response has stated about its body; None if its head has not arrived.
 
@@ -345,7 +339,8 @@
                 is not valid HTTP or states a size that it cannot have. Where the head has arrived only now,
                 such a size is not reported: the status may count whatever the body is.
         """
-        had_head = exchange.response.head_complete
+        response = exchange.response
+        had_head = response.head_complete
         tcp = exchange.connection.tcp
         if not tcp.has_buffered_data:
             exchange.units = 0
@@ -359,22 +354,27 @@
         if not exchange.reached_engine:
             exchange.reached_engine = True
             exchange.permit.response_started()
-        with self._reporting_malformed_response(exchange):
-            exchange.response.feed(data)
-        exchange.record_framing(self.now())
-        if had_head:
+        try:
+            response.feed(data)
+        except MalformedHttpResponseError as error:
+            raise self._malformed_response(exchange, error) from None
+        if response.framing.part_number != exchange.part_number:
+            exchange.part_number = response.framing.part_number
+            exchange.part_stated_at = self.now()
+        if had_head and response.oversized:
             self._check_stated_size(exchange)
 
     def _check_stated_size(self, exchange: Exchange) -> None:
         """Raise ExchangeAbortedError if the response has stated a size that it cannot have."""
-        with self._reporting_malformed_response(exchange):
-            exchange.response.raise_if_oversized()
-
-    @contextmanager
-    def _reporting_malformed_response(self, exchange: Exchange) -> Iterator[None]:
         try:
-            yield
+            exchange.response.raise_if_oversized()
         except MalformedHttpResponseError as error:
-            if error.limit is not None:
-                self._limit_reached(error.limit, exchange)
-            raise ExchangeAbortedError(FailureCause.MALFORMED_RESPONSE, str(error)) from None
+            raise self._malformed_response(exchange, error) from None
+
+    def _malformed_response(
+        self, exchange: Exchange, error: MalformedHttpResponseError
+    ) -> ExchangeAbortedError:
+        """Report the limit that a response has reached, if any, and return the error of its exchange."""
+        if error.limit is not None:
+            self._limit_reached(error.limit, exchange)
+        return ExchangeAbortedError(FailureCause.MALFORMED_RESPONSE, str(error))
