One place for the largest body, and fewer steps in the follower and the wait

No behaviour changes. BodyFraming bounds a size where a part begins, not in two places before; the check for an oversized response stands once in ResponseParser; StreamWait begins with its first part in place of being set up twice, and its end has no second minimum.

Tests: the largest body, the size line of 3 GB and the time until an event is forwarded are in http_messages, where four files had their own; two sabotaged nodes share their conditions. All assertions are as before.

--- a/runspool/engines/response_parser.py
+++ b/runspool/engines/response_parser.py
@@ -92,8 +92,7 @@
             raise MalformedHttpResponseError("bytes received after the end of the response")
         if not self.head_complete:
             self._remaining_head_bytes -= len(data)
-        if not self.oversized:
-            self._parse_body(data if self.head_complete else self._parse_head(data))
+        self._parse_body(data if self.head_complete else self._parse_head(data))
         if not self.head_complete and self._remaining_head_bytes < 0:
             raise MalformedHttpResponseError(
                 "response head exceeds the size limit", PeerLimit.RESPONSE_HEAD_BYTES
--- a/runspool/engines/stream_wait.py
+++ b/runspool/engines/stream_wait.py
@@ -43,15 +43,11 @@
         awaited: What is waited for.
     """
 
-    def __init__(self, idle_timeout: int, now: int) -> None:
+    def __init__(self, idle_timeout: int, now: int, framing: BodyFraming, has_ended: bool) -> None:
+        """Begin the first wait, after the first part of the answer; arguments as for record_progress()."""
         self.idle_timeout = idle_timeout
-        self.progress_at = now
         self.awaited = AwaitedPart.EVENT
-        self._has_ended = False
-        # The part that may hold the next event, its bytes to come when it was first seen, and when that was.
-        self._event_part = 0
-        self._event_bytes = 0
-        self._event_since = 0
+        self.record_progress(now, framing, has_ended)
 
     def record_progress(self, now: int, framing: BodyFraming, has_ended: bool) -> None:
         """Record that the stream has brought a part of the answer.
@@ -63,6 +59,7 @@
         """
         self.progress_at = now
         self._has_ended = has_ended
+        # The part that may hold the next event, its bytes to come when it was first seen, and when that was.
         self._event_part = framing.part_number + (not framing.remaining_bytes)
         self._event_bytes = framing.remaining_bytes
         self._event_since = now
@@ -77,20 +74,17 @@
             has_partial_event: Whether the beginning of an event with data has arrived.
         """
         idle_end = self.progress_at + self.idle_timeout
+        if self._has_ended and framing.remaining_bytes:
+            self.awaited = AwaitedPart.STATED_BYTES
+            return min(idle_end, max(self.progress_at, part_stated_at) + MAX_TIME_AFTER_END)
         if self._has_ended:
-            return min(idle_end, self._end_after_last_event(framing, part_stated_at))
+            self.awaited = AwaitedPart.RESPONSE_END
+            return idle_end
         self.awaited = AwaitedPart.EVENT_REST if has_partial_event else AwaitedPart.EVENT
         if has_partial_event and self._is_on_pace(now, framing):
             return max(idle_end, min(now + MAX_PAUSE_IN_EVENT, self.progress_at + MAX_EVENT_TIME))
         return idle_end
 
-    def _end_after_last_event(self, framing: BodyFraming, part_stated_at: int) -> int:
-        if not framing.remaining_bytes:
-            self.awaited = AwaitedPart.RESPONSE_END
-            return self.progress_at + self.idle_timeout
-        self.awaited = AwaitedPart.STATED_BYTES
-        return max(self.progress_at, part_stated_at) + MAX_TIME_AFTER_END
-
     def _is_on_pace(self, now: int, framing: BodyFraming) -> bool:
         """Return whether the chunk of the next event will be complete in time if it goes on like this."""
         if framing.part_number != self._event_part or not framing.remaining_bytes:
--- a/runspool/node/engine_client.py
+++ b/runspool/node/engine_client.py
@@ -155,8 +155,7 @@
                     stream_started = True
                     await listener.stream_started()
                     await listener.data_received(first_events)
-                    wait = StreamWait(self.idle_timeout, self.now())
-                    wait.record_progress(self.now(), exchange.response.framing, events.done)
+                    wait = StreamWait(self.idle_timeout, self.now(), exchange.response.framing, events.done)
                     stream = _Stream(exchange, events, partial_event, watched, wait)
                     await self._forward_events(stream, listener)
         except ExchangeAbortedError as error:
--- a/runspool/node/request_handler.py
+++ b/runspool/node/request_handler.py
@@ -11,7 +11,7 @@
 import structlog
 
 from runspool.limits.peer_limits import PeerLimit
-from runspool.node.executor import NodeExecutor, PendingNodeRequest
+from runspool.node.executor import MAX_BODY_BYTES, NodeExecutor, PendingNodeRequest
 from runspool.node.request_parser import parse_client_request, parse_time_limit
 from runspool.scheduling.request_lifecycle import InvariantViolation
 from runspool.service.clock import now
@@ -81,7 +81,7 @@
     """
 
     head_bytes: int = 32_768
-    query_bytes: int = 262_144
+    query_bytes: int = MAX_BODY_BYTES
     head_ms: float = 2_200
     body_ms: float = 2_200
     idle_ms: float = 2_500
--- a/runspool/wire/body_framing.py
+++ b/runspool/wire/body_framing.py
@@ -56,8 +56,8 @@
         """
         coding = headers.get("transfer-encoding", "").rpartition(",")[2].strip().lower()
         self._is_chunked = coding == "chunked"
-        if not self._is_chunked and "transfer-encoding" not in headers:
-            self._begin_part(min(int(headers.get("content-length", "0")), sys.maxsize))
+        if "transfer-encoding" not in headers:
+            self._begin_part(int(headers.get("content-length", "0")))
 
     def follow(self, data: bytes, max_part_bytes: int) -> int | None:
         """Follow the next bytes of the body, up to the first size that exceeds a limit.
@@ -87,10 +87,11 @@
         return None
 
     def _begin_part(self, size: int) -> None:
-        if size:
-            self.part_number += 1
-            self.part_bytes = self.remaining_bytes = size
-            self._unread_bytes = size + CHUNK_TERMINATOR_BYTES
+        if size <= 0:
+            return
+        self.part_number += 1
+        self.part_bytes = self.remaining_bytes = min(size, sys.maxsize)
+        self._unread_bytes = self.part_bytes + CHUNK_TERMINATOR_BYTES
 
     def _read_size_line(self, data: bytes, start: int) -> int:
         """Read a size line, or the part of it that has arrived, and return the position behind it."""
@@ -102,15 +103,14 @@
         self._size_line = b""
         size = _parse_size(line)
         self._begin_part(size)
-        self._has_ended = not size
+        self._has_ended = size <= 0
         return line_end
 
 
 def _parse_size(line: bytes) -> int:
     """Return the size that a size line states, in bytes; any size if llhttp will refuse the line."""
     try:
-        size = int(line, 16)
+        return int(line, 16)
     except ValueError:  # the line has an extension
         digits = _HEX_DIGITS.match(line)
-        size = int(digits[0], 16) if digits and digits[0] else 0
-    return max(0, min(size, sys.maxsize))
+        return int(digits[0], 16) if digits and digits[0] else 0
--- a/tests/node_platform/http_messages.py
+++ b/tests/node_platform/http_messages.py
@@ -18,6 +18,9 @@
 ]
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
+MAX_BODY_BYTES = 262_144  # maximum size of a body, by the platform's page
+UNTRUE_SIZE_LINE = b"c0000000\r\n"  # of a chunk of 3 GB
+FORWARDED_AFTER = 0.3  # seconds after which a node has forwarded an event that it has received
 DECLINED = b"Srv-Declined: 1"  # header line of a response to an attempt that was not executed
 
 
--- a/tests/soak/answers.py
+++ b/tests/soak/answers.py
@@ -12,7 +12,7 @@
 from random import Random
 
 from runspool.limits.answer_progress import MAX_TEXTS_PER_TOKEN
-from tests.node_platform.http_messages import EVENTS
+from tests.node_platform.http_messages import EVENTS, MAX_BODY_BYTES, UNTRUE_SIZE_LINE
 
 EVENT_INTERVAL = 0.1  # seconds between two events of a long stream
 MIN_TEXTS = 4
@@ -20,9 +20,7 @@
 SAME_TEXT_SHARE = 0.3  # share of the answers whose texts are all the same
 RUNS_SHARE = 0.3  # share of the answers whose texts are the same RUN_LENGTH times on end
 RUN_LENGTH = 5
-UNTRUE_SIZE_LINE = b"b2d05e00\r\n"  # of a chunk of 3 GB
 SMALL_LIMIT = 2  # tokens that are asked for where an engine goes on beyond its request and a body
-MAX_BODY_BYTES = 262_144  # maximum size of a body, by the platform's page
 LARGE_TEXT_BYTES = 15_000  # of the texts with which such an engine goes on
 TEXT_EVENT, _, USAGE_EVENT, END_EVENT = EVENTS
 
--- a/tests/soak/sabotage_conditions.py
+++ b/tests/soak/sabotage_conditions.py
@@ -13,6 +13,7 @@
 PREFILL = tuple(f"prefill-{index}" for index in range(PREFILL_ENGINES))  # the names of all prefill engines
 DECODE = tuple(f"decode-{index}" for index in range(DECODE_ENGINES))  # the names of all decode engines
 LONG_STREAMS = Conditions(longest_stream=10.0, long_share=0.5)
+ENDLESS_STREAMS = Conditions(longest_deadline=0.5, longest_stream=1.0, long_share=1.0, fruitless_share=0.3)
 Nodes = tuple[int, ...]  # indices of nodes
 
 
@@ -68,12 +69,8 @@
     "drain.gives_up": lambda nodes: RuleConditions(_late_agents(nodes)),
     "drain.asks_rarely": lambda nodes: RuleConditions(_outage(nodes, 2.0, amount=0.1)),
     "calls": lambda nodes: RuleConditions(_outage(nodes, 3.0, amount=1.0)),
-    "lost.waits": lambda nodes: RuleConditions(
-        [], soak=Conditions(longest_deadline=0.5, longest_stream=1.0, long_share=1.0, fruitless_share=0.3)
-    ),
-    "lost.believes": lambda nodes: RuleConditions(
-        [], soak=Conditions(longest_deadline=0.5, longest_stream=1.0, long_share=1.0, fruitless_share=0.3)
-    ),
+    "lost.waits": lambda nodes: RuleConditions([], soak=ENDLESS_STREAMS),
+    "lost.believes": lambda nodes: RuleConditions([], soak=ENDLESS_STREAMS),
     "lost.repeats": lambda nodes: RuleConditions(
         [_fault("slow", DECODE, nodes)],
         soak=Conditions(longest_deadline=0.5, resumable=False, longest_stream=10.0, long_share=1.0),
--- a/tests/test_engine_streams.py
+++ b/tests/test_engine_streams.py
@@ -14,9 +14,12 @@
 from tests.node_platform.http_messages import (
     COMPLETE_STREAM,
     EVENTS,
+    FORWARDED_AFTER,
     LAST_CHUNK,
+    MAX_BODY_BYTES,
     STREAM_HEAD,
     STREAM_REMAINDER,
+    UNTRUE_SIZE_LINE,
     WAIT_TIMEOUT,
     ReceivedRequest,
     chunked,
@@ -96,7 +99,6 @@
         assert not response.complete and len(platform.attempts("q1", "decode")) == 1
 
 
-UNTRUE_SIZE_LINE = b"c0000000\r\n"  # of a chunk of 3 GB
 # What an engine sends after the first event, what it then repeats, and the seconds between two pieces.
 DRIBBLED_REMAINDERS = {
     "3 GB at the pace of events": (UNTRUE_SIZE_LINE, b"x" * 40, 0.1),
@@ -110,13 +112,11 @@
     "extension": (b"5;a=", b"x" * 40, 0.1),
     "trailer section": (b"0\r\nA: ", b"x" * 40, 0.1),
 }
-MAX_BODY_BYTES = 262_144  # maximum size of a body, by the platform's page
 FLOOD_EVENTS = 1_000  # events that an engine sends at once without end
 MAX_WAIT_AFTER_EVENT = 5.05  # seconds for which a client may wait after an event, by the platform's page
 
 
 OPENING = STREAM_HEAD + chunked(EVENTS[0])  # of a stream that is sound up to here
-FORWARDED_AFTER = 0.3  # seconds after which a node has forwarded an event
 
 
 def dribbles(beginning: bytes, piece: bytes, interval: float = 0.1, opening: bytes = b"") -> Script:
--- a/tests/test_failure_classification.py
+++ b/tests/test_failure_classification.py
@@ -22,6 +22,7 @@
 from runspool.lab.response_faults import RESPONSE_FAULTS
 from runspool.scheduling.types import NOT_EXECUTED, AttemptStatus
 from runspool.service.clock import now
+from tests.node_platform.http_messages import UNTRUE_SIZE_LINE
 from tests.small_fleet import engine_spec
 
 ONE_SECOND = 10_000  # tenths of a millisecond
@@ -408,9 +409,9 @@
 @pytest.mark.parametrize(
     ("chunks", "cause"),
     [
-        ([b"b2d05e00\r\n" + TEXT, *[TEXT] * 15], FailureCause.MALFORMED_RESPONSE),
+        ([UNTRUE_SIZE_LINE + TEXT, *[TEXT] * 15], FailureCause.MALFORMED_RESPONSE),
         (
-            [b"%x\r\n%b\r\n" % (len(TEXT), TEXT), b"b2d05e00\r\n", *[TEXT] * 15],
+            [b"%x\r\n%b\r\n" % (len(TEXT), TEXT), UNTRUE_SIZE_LINE, *[TEXT] * 15],
             FailureCause.STREAM_INTERRUPTED,
         ),
     ],
--- a/tests/test_stated_sizes.py
+++ b/tests/test_stated_sizes.py
@@ -13,8 +13,11 @@
 from tests.node_platform.http_messages import (
     DECLINED,
     EVENTS,
+    FORWARDED_AFTER,
     LAST_CHUNK,
+    MAX_BODY_BYTES,
     STREAM_HEAD,
+    UNTRUE_SIZE_LINE,
     ReceivedRequest,
     chunked,
     http_response,
@@ -26,17 +29,14 @@
 TEXT_EVENT = EVENTS[0]
 END = b"".join(EVENTS[1:])  # the events that end a stream
 EVENT_INTERVAL = 0.12  # seconds between two events of an engine
-FORWARDED_AFTER = 0.3  # seconds after which a node has forwarded an event
-MAX_SPOILT_TIME = (
-    5.0  # seconds from spoilt bytes to the end of the client's connection, by the platform's page
-)
+# Seconds from spoilt bytes to the end of the client's connection, by the platform's page.
+MAX_SPOILT_TIME = 5.0
 MAX_RETRY_TIME = 2.0  # seconds for a request with 4 s of time whose attempts fail by a stated size
-MAX_BODY_BYTES = 262_144  # maximum size of a body, by the platform's page
 
 # Size lines of chunks that cannot be true, and whether the final event comes inside the chunk.
 UNTRUE_CHUNKS = {
-    "3 GB": (b"b2d05e00\r\n", False),
-    "3 GB with the end inside": (b"b2d05e00\r\n", True),
+    "3 GB": (UNTRUE_SIZE_LINE, False),
+    "3 GB with the end inside": (UNTRUE_SIZE_LINE, True),
     "a byte more than a body": (b"%x\r\n" % (MAX_BODY_BYTES + 1), False),
 }
 
@@ -82,8 +82,8 @@
 # Responses of an engine that state 3 GB before anything of them is passed on.
 UNTRUE_PREFILL = b"HTTP/1.1 202 Accepted\r\nContent-Length: 3000000000\r\n\r\n{"
 UNTRUE_RESPONSES = {
-    "first chunk": ("w", STREAM_HEAD + b"b2d05e00\r\n" + TEXT_EVENT),
-    "chunk behind the first event": ("w", STREAM_HEAD + chunked(TEXT_EVENT) + b"b2d05e00\r\n" + TEXT_EVENT),
+    "first chunk": ("w", STREAM_HEAD + UNTRUE_SIZE_LINE + TEXT_EVENT),
+    "chunk behind the first event": ("w", STREAM_HEAD + chunked(TEXT_EVENT) + UNTRUE_SIZE_LINE + TEXT_EVENT),
     "length of a stream": (
         "w",
         b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 3000000000\r\n\r\n"
@@ -92,7 +92,7 @@
     "length of a prefill": ("r", UNTRUE_PREFILL),
     "chunk of a prefill": (
         "r",
-        b"HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\nb2d05e00\r\n{",
+        b"HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\n" + UNTRUE_SIZE_LINE + b"{",
     ),
 }
 
--- a/tests/test_stream_wait.py
+++ b/tests/test_stream_wait.py
@@ -22,7 +22,7 @@
 
 def wait_after_event(framing: BodyFraming, has_ended: bool = False) -> StreamWait:
     """Return the wait of a stream that has just brought an event."""
-    wait = StreamWait(IDLE_TIMEOUT, START - 500)
+    wait = StreamWait(IDLE_TIMEOUT, START - 500, chunked_framing(b""), False)
     wait.record_progress(START, framing, has_ended)
     return wait
 
